--- /dev/null
+++ b/src/libbaobabswitch/memorystore.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "objectstore.h"
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <mutex>
+
+namespace baobabswitch {
+
+/// What a memory store does to one call; faults are for tests and the stand-in.
+enum class store_fault {
+    none,
+    unavailable, ///< the call fails without effect
+    answer_lost, ///< the call takes effect and its answer is lost
+};
+
+/// An object store in memory, for tests and the stand-in platform. May be used from any thread.
+class memory_store final : public object_store {
+public:
+    result<stored_object> get(std::string_view name) override;
+    result<std::uint64_t> put(std::string_view name, std::string_view value,
+                              std::uint64_t if_version) override;
+    result<void> remove(std::string_view name, std::uint64_t if_version) override;
+    result<object_list> list(std::string_view prefix) override;
+    result<object_list> watch(std::string_view prefix, std::uint64_t after, milliseconds wait) override;
+
+    /// Asked before each call ("get", "put", "remove", "list", "watch") and its object or prefix.
+    std::function<store_fault(std::string_view operation, std::string_view name)> on_call;
+
+private:
+    store_fault fault(std::string_view operation, std::string_view name) const;
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::map<std::string, stored_object, std::less<>> objects_;
+    std::map<std::string, std::uint64_t, std::less<>>
+        revisions_; ///< of the last change, kept for removed objects
+    std::uint64_t revision_ = 0;
+};
+
+} // namespace baobabswitch
