--- a/src/libbaobabswitch/adminserver.cpp
+++ b/src/libbaobabswitch/adminserver.cpp
@@ -79,6 +79,14 @@
         response.status = status ? 200 : 503;
         response.set_content(status.value_or("{}"), "application/json");
     });
+    server.Get(R"(/v1/explain/([^/]+))",
+               [&node](const httplib::Request& request, httplib::Response& response) {
+                   const auto text = ask_loop<std::string>(node.loop, [&node, id = request.matches[1].str()] {
+                       return explain_json(node.trace, id, clock::now());
+                   });
+                   response.status = text ? 200 : 503;
+                   response.set_content(text.value_or("{}"), "application/json");
+               });
     const auto& address = node.settings.admin;
     if (!server.bind_to_port(address.host, address.port)) {
         return error{error_kind::bad_settings, "can't listen on the admin address " + to_string(address),
--- a/src/libbaobabswitch/calltypes.h
+++ b/src/libbaobabswitch/calltypes.h
@@ -46,6 +46,7 @@
 struct call_outcome {
     outcome_kind kind = outcome_kind::unknown;
     http_response answer;           ///< the target's answer, if done
+    std::string answered_call;      ///< call id that the node beside the target put on its answer
     std::optional<error> cause;     ///< why, if not done
     unsigned spent = 0;             ///< retries spent below
     importance_level threshold = 0; ///< least importance now admitted on the path below
--- a/src/libbaobabswitch/entry.cpp
+++ b/src/libbaobabswitch/entry.cpp
@@ -1,33 +1,45 @@
 #include "entry.h"
 
+#include "keyowner.h"
 #include "outgoingcall.h"
 #include "peermessages.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace baobabswitch {
 
 namespace {
 
 constexpr std::uint64_t max_keys_per_request = 1000;
+constexpr std::size_t max_name_length = 64;
+/// Leaves room for the internal headers within the 16 KiB of a hop's headers.
+constexpr std::size_t max_path_length = 4096;
+/// Call chains are up to 24 deep by design; a chain past this bound is a cycle.
+constexpr unsigned max_depth = 64;
+constexpr std::size_t max_labels = 1000; ///< per parent call
 constexpr std::string_view call_prefix = "/v1/call/";
 
-struct parsed_call {
-    call_info info;
-    std::string parent;
-    std::string child_label;
-    std::string key;
-};
-
-error spoofed(std::string_view name) {
-    return {error_kind::spoofed_header, "the header " + std::string{name} + " is reserved for nodes",
-            "send the call without it"};
+/// Headers that steer a call. A second value would let two readers of the request disagree.
+constexpr std::array<std::string_view, 5> single_headers{"Baobab-Kind", "Baobab-Timeout-Ms", "Baobab-Key",
+                                                         "Baobab-Parent", "Baobab-Child"};
+
+result<void> check_headers(const http_headers& headers) {
+    for (const auto name : single_headers) {
+        const auto n = std::count_if(headers.begin(), headers.end(), [&](const auto& it) {
+            return it.first.size() == name.size() && has_header_prefix({it}, name);
+        });
+        if (n > 1) {
+            return error{error_kind::malformed, "the header " + std::string{name} + " is repeated",
+                         "send it once"};
+        }
+    }
+    return success();
 }
 
-result<milliseconds> parse_timeout(const http_headers& headers, const kind_config& kind) {
-    const auto text = find_header(headers, "Baobab-Timeout-Ms");
+result<milliseconds> parse_timeout(std::optional<std::string_view> text, const kind_config& kind) {
     if (!text) {
         return kind.timeout;
     }
@@ -36,201 +48,364 @@
         return error{error_kind::bad_timeout, "Baobab-Timeout-Ms is \"" + std::string{*text} + "\"",
                      "send a whole number of milliseconds, at least 1, or leave the header out"};
     }
-    return std::min(kind.timeout, milliseconds{static_cast<std::int64_t>(std::min<std::uint64_t>(
-                                      *n, static_cast<std::uint64_t>(kind.timeout.count())))});
+    const auto cap = static_cast<std::uint64_t>(kind.timeout.count());
+    return milliseconds{static_cast<std::int64_t>(std::min(*n, cap))};
 }
 
-result<parsed_call> parse_call(const node_state& node, http_request& request, time_point now) {
-    if (has_header_prefix(request.headers, "Baobab-Internal-")) {
-        return spoofed("Baobab-Internal-*");
-    }
-    if (has_header_prefix(request.headers, "Baobab-Mac")) {
-        return spoofed("Baobab-Mac");
-    }
-    const auto rest = std::string_view{request.target}.substr(call_prefix.size());
-    const auto slash = std::min(rest.find('/'), rest.size());
-    parsed_call call;
-    auto& info = call.info;
-    info.service = rest.substr(0, slash);
-    info.path = slash == rest.size() ? "/" : std::string{rest.substr(slash)};
-    info.kind = header_or_empty(request.headers, "Baobab-Kind");
-    const auto kind = node.config->kinds.find(info.kind);
-    if (kind == node.config->kinds.end()) {
-        return error{error_kind::unknown_kind, "the price list has no kind \"" + info.kind + "\"",
-                     "send Baobab-Kind with a kind of the price list (baobabswitchctl get)"};
+result<entry_call> parse_call(const node_state& node, http_request& request, time_point now) {
+    const auto checked = check_headers(request.headers);
+    if (!checked) {
+        return checked.error();
     }
-    if (info.service != kind->second.service) {
-        return error{error_kind::unknown_service,
-                     "kind \"" + info.kind + "\" is not served by \"" + info.service + "\"",
-                     "call service \"" + kind->second.service + "\""};
-    }
-    const auto timeout = parse_timeout(request.headers, kind->second);
-    if (!timeout) {
-        return timeout.error();
-    }
-    info.importance = kind->second.importance;
-    info.idempotent = kind->second.idempotent;
-    info.cancellable = kind->second.cancellable;
-    info.deadline = now + timeout.value();
-    info.body = std::move(request.body);
+    auto info = read_call(node, std::string_view{request.target}.substr(call_prefix.size()),
+                          header_or_empty(request.headers, "Baobab-Kind"),
+                          find_header(request.headers, "Baobab-Timeout-Ms"), now);
+    if (!info) {
+        return info.error();
+    }
+    entry_call call;
+    call.info = std::move(info.value());
+    call.info.body = std::move(request.body);
     call.parent = header_or_empty(request.headers, "Baobab-Parent");
     call.child_label = header_or_empty(request.headers, "Baobab-Child");
     call.key = header_or_empty(request.headers, "Baobab-Key");
+    if (call.child_label.size() > max_name_length) {
+        return error{error_kind::malformed, "Baobab-Child is longer than 64 characters",
+                     "use a shorter label"};
+    }
     return call;
 }
 
-void refuse(node_state& node, http_exchange& exchange, std::string_view kind, error cause) {
-    node.metrics.count_event(error_name(cause.kind));
-    node.metrics.count_call(kind, outcome_kind::not_run, error_name(cause.kind), 0);
-    call_outcome outcome;
-    outcome.kind = outcome_kind::not_run;
-    outcome.cause = std::move(cause);
-    exchange.respond(make_caller_response(std::move(outcome), ""));
+/// Waits for the answer to the running request of a record, on behalf of a repeat.
+void wait_for_run(node_state& node, entry_call repeat) {
+    auto call = std::make_shared<entry_call>(std::move(repeat));
+    const auto record = call->record;
+    ++node.entering;
+    const auto n = add_waiter(*record, [&node, call](const call_outcome& outcome) {
+        --node.entering;
+        answer_entry(node, *call, outcome);
+    });
+    if (n == 0) {
+        --node.entering;
+        refuse_entry(node, *call, outcome_kind::unknown,
+                     {error_kind::overloaded, "too many repeats wait for this request",
+                      "ask GET /v1/outcomes for its outcome later"});
+        return;
+    }
+    trace_call(node, call->info.request, "", "repeat-waits", "the request is running");
+    const auto leave = [&node, weak = std::weak_ptr{record}, n] {
+        const auto it = weak.lock();
+        if (!it || it->waiters.erase(n) == 0) {
+            return false;
+        }
+        --node.entering;
+        if (it->first_caller_gone && it->waiters.empty() && it->cancel_run) {
+            it->cancel_run();
+        }
+        return true;
+    };
+    call->exchange->on_abandoned([leave] { leave(); });
+    node.loop.schedule(call->info.deadline - clock::now(), [&node, call, leave] {
+        if (leave()) {
+            answer_entry(node, *call,
+                         make_failure(outcome_kind::unknown, error_kind::timeout,
+                                      "the request was still running when the repeat's time ran out",
+                                      "ask for the outcome with the request key"));
+        }
+    });
 }
 
-/// Joins a child call to its parent at this node: same request, its share of the retries, no more time.
-result<retry_ledger> join_parent(node_state& node, parsed_call& call) {
-    const auto found = node.calls.find(call.parent);
-    if (found == node.calls.end() || !found->second.sent) {
-        return error{error_kind::unknown_parent,
-                     "no call \"" + call.parent + "\" is running at this node's target",
-                     "send child calls only while their parent runs, through the node on the same VM"};
+/// Ends a call that was sent on from here: settles its loan and its record, then answers the caller and the
+/// repeats that waited.
+void end_entry(node_state& node, const entry_call& call, call_outcome outcome) {
+    --node.entering;
+    if (const auto it = node.calls.find(call.parent); it != node.calls.end()) {
+        give_back(it->second.ledger, call.loan, outcome.spent, node.invariants);
     }
-    auto& parent = found->second;
-    if (!call.info.idempotent) {
-        if (call.child_label.empty()) {
-            return error{error_kind::key_required, "a non-idempotent child call needs a label",
-                         "send Baobab-Child with a label that is unique within the parent call"};
+    std::vector<std::function<void(const call_outcome&)>> waiters;
+    if (call.record) {
+        if (!call.key.empty()) {
+            give_back(call.record->ledger, call.loan, outcome.spent, node.invariants);
         }
-        if (!parent.child_labels.insert(call.child_label).second) {
-            return error{error_kind::bad_key, "child call \"" + call.child_label + "\" was sent before",
-                         "use each label once"};
+        waiters = end_run(node.keys, call.record, outcome, node.invariants);
+    }
+    for (const auto& it : waiters) {
+        it(outcome);
+    }
+    answer_entry(node, call, std::move(outcome));
+}
+
+/// Sends a call on to the targets.
+void run_entry(node_state& node, entry_call started) {
+    ++node.entering;
+    auto call = std::make_shared<entry_call>(std::move(started));
+    trace_call(node, call->info.request, "", "arrived",
+               call->info.kind + ", " + std::to_string(call->loan) + " retries granted");
+    retry_ledger ledger;
+    ledger.granted = call->loan;
+    auto info = call->info;
+    call->info.body.clear();
+    const auto outgoing = std::make_shared<outgoing_call>(
+        node, std::move(info), ledger, call->record,
+        [&node, call](call_outcome outcome) { end_entry(node, *call, std::move(outcome)); });
+    const auto cancel = [weak = std::weak_ptr{outgoing}] {
+        if (const auto it = weak.lock()) {
+            it->cancel();
         }
+    };
+    if (const auto it = node.calls.find(call->parent); it != node.calls.end()) {
+        auto& children = it->second.children;
+        std::erase_if(children, [](const auto& child) { return child.expired(); });
+        children.push_back(outgoing);
     }
+    if (call->record) {
+        call->record->cancel_run = cancel;
+        call->exchange->on_abandoned([weak = std::weak_ptr{call->record}] {
+            const auto it = weak.lock();
+            if (!it) {
+                return;
+            }
+            it->first_caller_gone = true;
+            if (it->waiters.empty() && it->cancel_run) {
+                it->cancel_run();
+            }
+        });
+    } else {
+        call->exchange->on_abandoned(cancel);
+    }
+    outgoing->start();
+}
+
+/// Runs, waits for or answers a call that has a record.
+void start_recorded(node_state& node, entry_call call, retry_ledger& ledger, bool accepting) {
+    auto arrival = arrive(*call.record, ledger, request_fingerprint(call.info), accepting, node.invariants);
+    switch (arrival.step) {
+    case key_step::answer:
+        trace_call(node, call.info.request, "", "answered-from-record",
+                   std::string{key_state_name(call.record->state)});
+        answer_entry(node, call, std::move(arrival.outcome));
+        return;
+    case key_step::wait:
+        wait_for_run(node, std::move(call));
+        return;
+    case key_step::run:
+        break;
+    }
+    call.loan = call.key.empty() ? lend(ledger, node.invariants) : lend_all(ledger, node.invariants);
+    run_entry(node, std::move(call));
+}
+
+/// Starts a child call: it has the identity of its parent's request, a share of its retries, no more time.
+void start_child(node_state& node, entry_call call) {
+    call.key.clear();
+    const auto found = node.calls.find(call.parent);
+    if (found == node.calls.end() || !found->second.sent) {
+        // A labelled child may have run before its parent's record went.
+        refuse_entry(
+            node, call, call.info.idempotent ? outcome_kind::not_run : outcome_kind::unknown,
+            {error_kind::unknown_parent,
+             "no call \"" + call.parent.substr(0, max_name_length) + "\" is running at this node's target",
+             "send child calls only while their parent runs, through the node on the same VM"});
+        return;
+    }
+    auto& parent = found->second;
     call.info.request = parent.info.request;
     call.info.depth = parent.info.depth + 1;
     call.info.deadline = std::min(call.info.deadline, parent.info.deadline);
     call.info.importance = std::max(call.info.importance, parent.info.importance);
-    retry_ledger ledger;
-    ledger.granted = lend(parent.ledger, node.invariants);
-    return ledger;
+    if (parent.cancelled) {
+        refuse_entry(node, call, call.info.idempotent ? outcome_kind::not_run : outcome_kind::unknown,
+                     {error_kind::cancelled, "the parent call was cancelled", "stop the parent's work"});
+        return;
+    }
+    if (call.info.depth > max_depth) {
+        refuse_entry(
+            node, call, outcome_kind::not_run,
+            {error_kind::malformed, "the call chain is deeper than 64", "look for a cycle of calls"});
+        return;
+    }
+    if (call.info.idempotent) {
+        call.loan = lend(parent.ledger, node.invariants);
+        run_entry(node, std::move(call));
+        return;
+    }
+    if (call.child_label.empty()) {
+        refuse_entry(node, call, outcome_kind::not_run,
+                     {error_kind::key_required, "a non-idempotent child call needs a label",
+                      "send Baobab-Child with a label that is unique within the parent call"});
+        return;
+    }
+    auto& record = parent.labels[call.child_label];
+    if (!record) {
+        if (parent.labels.size() > max_labels) {
+            parent.labels.erase(call.child_label);
+            refuse_entry(node, call, outcome_kind::not_run,
+                         {error_kind::overloaded, "the parent call has 1000 labelled child calls",
+                          "use fewer child calls"});
+            return;
+        }
+        record = std::make_shared<key_record>();
+    }
+    call.record = record;
+    start_recorded(node, std::move(call), parent.ledger, true);
 }
 
-/// Starts the record of a keyed request.
-result<key_record*> begin_keyed(node_state& node, const std::string& key) {
-    const auto parsed = parse_key(key, node.settings.keys);
-    if (!parsed) {
-        return parsed.error();
+void start_keyed(node_state& node, entry_call call) {
+    call.info.request = call.key;
+    const auto found = node.keys.records.find(call.key);
+    if (found == node.keys.records.end()) {
+        refuse_entry(node, call, outcome_kind::unknown,
+                     {error_kind::bad_key, "the key is past its lifetime of 10 minutes",
+                      "check the outcome with the service, then get a new key from POST /v1/keys"});
+        return;
     }
-    if (parsed.value().node != node.settings.node_id) {
-        return error{error_kind::key_owner_unreachable, "node \"" + parsed.value().node + "\" issued the key",
-                     "send the call to that node"};
+    call.record = found->second;
+    auto& ledger = call.record->ledger;
+    if (call.record->state == key_state::issued) {
+        ledger.granted = node.config->policy.retry_budget;
     }
-    if (parsed.value().incarnation != node.incarnation) {
-        return error{error_kind::key_owner_gone, "the node that issued the key has been replaced",
-                     "check the outcome with the service before sending the request with a new key"};
+    start_recorded(node, std::move(call), ledger, !node.draining);
+}
+
+} // namespace
+
+result<call_info> read_call(const node_state& node, std::string_view target, std::string_view kind,
+                            std::optional<std::string_view> timeout, time_point now) {
+    if (target.size() > max_path_length) {
+        return error{error_kind::too_large, "the path is longer than 4096 characters",
+                     "send what is long in the body"};
     }
-    const auto found = node.keys.records.find(key);
-    if (found == node.keys.records.end()) {
-        return error{error_kind::bad_key, "the key has expired", "get a new key from POST /v1/keys"};
+    const auto slash = std::min(target.find_first_of("/?"), target.size());
+    call_info info;
+    info.service = target.substr(0, slash);
+    info.path = target.substr(slash);
+    if (!info.path.starts_with('/')) {
+        info.path.insert(0, "/");
+    }
+    info.kind = kind.substr(0, max_name_length);
+    const auto found = node.config->kinds.find(kind);
+    if (found == node.config->kinds.end()) {
+        return error{error_kind::unknown_kind, "the price list has no kind \"" + info.kind + "\"",
+                     "send Baobab-Kind with a kind of the price list (baobabswitchctl get)"};
     }
-    auto& record = found->second;
-    if (record.state != key_state::issued && record.state != key_state::not_run) {
-        return error{error_kind::bad_key, "a request with this key was sent before", "wait for its answer"};
+    const auto& config = found->second;
+    if (info.service != config.service) {
+        return error{error_kind::unknown_service,
+                     "kind \"" + info.kind + "\" is not served by \"" +
+                         info.service.substr(0, max_name_length) + "\"",
+                     "call service \"" + config.service + "\""};
+    }
+    const auto time = parse_timeout(timeout, config);
+    if (!time) {
+        return time.error();
     }
-    record.state = key_state::running;
-    return &record;
+    info.importance = config.importance;
+    info.idempotent = config.idempotent;
+    info.cancellable = config.cancellable;
+    info.deadline = now + time.value();
+    return info;
 }
 
-key_state state_after(outcome_kind kind) {
-    switch (kind) {
-    case outcome_kind::done:
-        return key_state::done;
-    case outcome_kind::not_run:
-        return key_state::not_run;
-    case outcome_kind::promised:
-        return key_state::promised;
-    case outcome_kind::unknown:
-        break;
+void answer_entry(node_state& node, const entry_call& call, call_outcome outcome) {
+    const auto cause = outcome.cause ? error_name(outcome.cause->kind) : std::string_view{};
+    trace_call(node, call.info.request, "", "outcome",
+               std::string{outcome_name(outcome.kind)} +
+                   (outcome.cause ? ", " + describe(*outcome.cause) : ""));
+    if (call.from_peer) {
+        call.exchange->respond(make_hop_response(std::move(outcome)));
+        return;
     }
-    return key_state::unknown;
+    const auto seconds = std::chrono::duration<double>(clock::now() - call.arrived).count();
+    node.metrics.count_call(call.info.kind, outcome.kind, cause, seconds);
+    call.exchange->respond(make_caller_response(std::move(outcome), call.info.request));
 }
 
-} // namespace
+void refuse_entry(node_state& node, const entry_call& call, outcome_kind kind, error cause) {
+    node.metrics.count_event(error_name(cause.kind));
+    call_outcome outcome;
+    outcome.kind = kind;
+    outcome.cause = std::move(cause);
+    answer_entry(node, call, std::move(outcome));
+}
+
+void start_entry(node_state& node, entry_call call) {
+    if (node.entering >= max_calls) {
+        // A keyed or labelled request may have run under an earlier arrival.
+        refuse_entry(node, call, call.info.idempotent ? outcome_kind::not_run : outcome_kind::unknown,
+                     {error_kind::overloaded, "this node holds as many calls as it can",
+                      "send the call to another node, or try again later"});
+        return;
+    }
+    if (!call.parent.empty()) {
+        start_child(node, std::move(call));
+        return;
+    }
+    if (!call.key.empty()) {
+        start_keyed(node, std::move(call));
+        return;
+    }
+    if (node.draining) {
+        refuse_entry(node, call, outcome_kind::not_run,
+                     {error_kind::draining, "this node is shutting down", "send the call to another node"});
+        return;
+    }
+    if (!call.info.idempotent) {
+        refuse_entry(node, call, outcome_kind::not_run,
+                     {error_kind::key_required,
+                      "kind \"" + call.info.kind + "\" is not idempotent and needs a key",
+                      "get a key from POST /v1/keys and send it as Baobab-Key"});
+        return;
+    }
+    call.loan = node.config->policy.retry_budget;
+    run_entry(node, std::move(call));
+}
 
 void handle_call(node_state& node, http_request request, const std::shared_ptr<http_exchange>& exchange) {
     const auto now = clock::now();
     auto parsed = parse_call(node, request, now);
+    entry_call call;
+    if (parsed) {
+        call = std::move(parsed.value());
+    }
+    call.exchange = exchange;
+    call.arrived = now;
+    call.info.request = next_call_id(node);
     if (!parsed) {
-        refuse(node, *exchange, "", parsed.error());
+        refuse_entry(node, call, outcome_kind::not_run, parsed.error());
         return;
     }
-    auto& call = parsed.value();
-    retry_ledger ledger;
-    if (!call.parent.empty()) {
-        const auto joined = join_parent(node, call);
-        if (!joined) {
-            refuse(node, *exchange, call.info.kind, joined.error());
-            return;
-        }
-        ledger = joined.value();
+    if (call.key.empty() || !call.parent.empty()) {
+        start_entry(node, std::move(call));
+        return;
+    }
+    const auto key = parse_key(call.key, node.settings.keys);
+    if (!key) {
+        refuse_entry(node, call, outcome_kind::not_run, key.error());
+        return;
+    }
+    call.info.request = call.key;
+    if (key.value().node == node.settings.node_id && key.value().incarnation == node.incarnation) {
+        start_entry(node, std::move(call));
     } else {
-        if (node.draining) {
-            refuse(node, *exchange, call.info.kind,
-                   {error_kind::draining, "this node is shutting down", "send the call to another node"});
-            return;
-        }
-        if (call.key.empty() && !call.info.idempotent) {
-            refuse(node, *exchange, call.info.kind,
-                   {error_kind::key_required,
-                    "kind \"" + call.info.kind + "\" is not idempotent and needs a key",
-                    "get a key from POST /v1/keys and send it as Baobab-Key"});
-            return;
-        }
-        if (!call.key.empty()) {
-            const auto begun = begin_keyed(node, call.key);
-            if (!begun) {
-                refuse(node, *exchange, call.info.kind, begun.error());
-                return;
-            }
-        }
-        call.info.request = call.key.empty() ? next_call_id(node) : call.key;
-        ledger.granted = node.config->policy.retry_budget;
+        forward_to_owner(node, key.value(), std::move(call));
     }
-
-    ++node.entering;
-    const auto kind = call.info.kind;
-    const auto request_id = call.info.request;
-    auto outgoing = std::make_shared<outgoing_call>(
-        node, std::move(call.info), ledger,
-        [&node, exchange, now, kind, request_id, key = call.key, parent = call.parent,
-         loan = ledger.granted](call_outcome outcome) {
-            --node.entering;
-            if (const auto it = node.calls.find(parent); it != node.calls.end()) {
-                give_back(it->second.ledger, loan, outcome.spent, node.invariants);
-            }
-            if (const auto it = node.keys.records.find(key); it != node.keys.records.end()) {
-                it->second.state = state_after(outcome.kind);
-                it->second.outcome = outcome;
-            }
-            const auto seconds = std::chrono::duration<double>(clock::now() - now).count();
-            node.metrics.count_call(kind, outcome.kind, outcome.cause ? error_name(outcome.cause->kind) : "",
-                                    seconds);
-            exchange->respond(make_caller_response(std::move(outcome), request_id));
-        });
-    exchange->on_abandoned([weak = std::weak_ptr{outgoing}] {
-        if (const auto it = weak.lock()) {
-            it->cancel();
-        }
-    });
-    outgoing->start();
 }
 
 void handle_issue_keys(node_state& node, const http_request& request, http_exchange& exchange) {
+    const auto refuse = [&](error cause) {
+        node.metrics.count_event(error_name(cause.kind));
+        call_outcome outcome;
+        outcome.kind = outcome_kind::not_run;
+        outcome.cause = std::move(cause);
+        exchange.respond(make_caller_response(std::move(outcome), ""));
+    };
+    if (node.draining) {
+        refuse({error_kind::draining, "this node is shutting down", "get keys from another node"});
+        return;
+    }
     const auto count = parse_number(query_parameter(request.target, "count").value_or("1"));
     if (!count || *count == 0 || *count > max_keys_per_request) {
         refuse(
-            node, exchange, "",
             {error_kind::malformed, "the query parameter count is out of range", "ask for 1 to 1000 keys"});
         return;
     }
@@ -239,7 +414,7 @@
         auto key =
             issue_key(node.keys, node.settings.node_id, node.incarnation, node.settings.keys, clock::now());
         if (!key) {
-            refuse(node, exchange, "", key.error());
+            refuse(key.error());
             return;
         }
         keys.push_back(std::move(key.value()));
--- a/src/libbaobabswitch/httpclient.cpp
+++ b/src/libbaobabswitch/httpclient.cpp
@@ -8,10 +8,13 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <cerrno>
 #include <deque>
 #include <map>
 #include <unordered_map>
 
+#include <sys/socket.h>
+
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
@@ -88,6 +91,14 @@
     time_point idle_since() const {
         return idle_since_;
     }
+    /// Reports whether nothing has arrived since the last answer. Bytes that come unasked, such as a second
+    /// answer, must not become the answer to the next request, and the end of the stream makes the
+    /// connection useless.
+    bool is_quiet() {
+        char buf = 0;
+        const auto n = ::recv(stream_.socket().native_handle(), &buf, 1, MSG_PEEK | MSG_DONTWAIT);
+        return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
     void mark_idle() {
         idle_since_ = clock::now();
     }
@@ -249,7 +260,8 @@
     while (!it.waiting.empty() && !it.idle.empty()) {
         const auto conn = it.idle.back();
         it.idle.pop_back();
-        if (!conn->is_open() || clock::now() - conn->idle_since() > options.idle_timeout) {
+        if (!conn->is_open() || !conn->is_quiet() ||
+            clock::now() - conn->idle_since() > options.idle_timeout) {
             drop(conn);
             continue;
         }
@@ -391,6 +403,15 @@
                [self = impl_, it] { self->fail(it, http_failure_kind::cancelled, "cancelled"); });
 }
 
+bool http_client::cancel_if_unsent(exchange_id id) {
+    const auto found = impl_->exchanges.find(id);
+    if (found == impl_->exchanges.end() || found->second->sent) {
+        return false;
+    }
+    cancel(id);
+    return true;
+}
+
 void http_client::limit_connections(const endpoint& peer, std::size_t n) {
     impl_->pool_of(peer).limit = n;
 }
--- a/src/libbaobabswitch/httpclient.h
+++ b/src/libbaobabswitch/httpclient.h
@@ -62,6 +62,8 @@
     exchange_id send(const endpoint& peer, http_request request, duration timeout, callback on_result);
     /// Ends an exchange; its callback gets http_failure_kind::cancelled.
     void cancel(exchange_id id);
+    /// Ends an exchange that still waits for a connection, and reports whether it did; a sent one goes on.
+    bool cancel_if_unsent(exchange_id id);
     /// Sets the bound on connections to one endpoint.
     void limit_connections(const endpoint& peer, std::size_t n);
 
--- a/src/libbaobabswitch/httpserver.cpp
+++ b/src/libbaobabswitch/httpserver.cpp
@@ -35,6 +35,10 @@
 
 using server_impl = http_server::impl;
 
+/// After an answer to a request that was not read to its end.
+constexpr milliseconds linger_time{1000};
+constexpr std::size_t discard_bytes = 16 * 1024;
+
 http_read_error classify(error_code ec) {
     if (ec == http::error::header_limit) {
         return http_read_error::header_too_large;
@@ -109,6 +113,10 @@
                           [self = shared_from_this(), keep_alive](error_code ec, std::size_t) {
                               self->stream_.expires_never();
                               self->response_.reset();
+                              if (!ec && self->unread_input_) {
+                                  self->close_after_input();
+                                  return;
+                              }
                               if (ec || !keep_alive) {
                                   self->close();
                                   return;
@@ -173,7 +181,7 @@
         parser_.emplace();
         parser_->header_limit(static_cast<std::uint32_t>(server_->options.limits.header_bytes));
         parser_->body_limit(server_->options.limits.body_bytes);
-        stream_.expires_after(server_->options.header_timeout);
+        limit_read(server_->options.header_timeout);
         http::async_read_header(stream_, buffer_, *parser_,
                                 [self = shared_from_this()](error_code ec, std::size_t) {
                                     if (ec) {
@@ -185,34 +193,75 @@
     }
 
     void read_body() {
-        stream_.expires_after(server_->options.body_timeout);
+        limit_read(server_->options.body_timeout);
         http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](error_code ec, std::size_t) {
             if (ec) {
                 self->on_read_failed(ec);
                 return;
             }
-            self->stream_.expires_never();
+            self->idle_timer_.cancel();
             self->dispatch();
         });
     }
 
+    /// Bounds the time of a read. The stream's own timeout would close the socket, and the client would get
+    /// no answer.
+    void limit_read(duration limit) {
+        read_timed_out_ = false;
+        idle_timer_.expires_after(limit);
+        idle_timer_.async_wait([self = weak_from_this()](error_code ec) {
+            const auto it = self.lock();
+            if (!ec && it && it->state_ == state::reading) {
+                it->read_timed_out_ = true;
+                it->stream_.cancel();
+            }
+        });
+    }
+
     void on_read_failed(error_code ec) {
+        idle_timer_.cancel();
+        if (read_timed_out_) {
+            ec = beast::error::timeout;
+        }
         const bool gone = ec == http::error::end_of_stream || ec == asio::error::connection_reset ||
                           ec == asio::error::operation_aborted;
         if (gone || !server_->options.on_read_error) {
             close();
             return;
         }
-        // The timeout closes the socket, so there is nobody left to answer.
         auto answer = server_->options.on_read_error(classify(ec));
-        if (ec == beast::error::timeout) {
-            close();
-            return;
-        }
         state_ = state::writing;
+        unread_input_ = true;
         write(std::move(answer), false);
     }
 
+    /// Ends a connection whose client may still be sending: a close with unread input would reset the
+    /// connection, and the client could lose the answer.
+    void close_after_input() {
+        error_code ec;
+        stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
+        idle_timer_.expires_after(linger_time);
+        idle_timer_.async_wait([self = weak_from_this()](error_code code) {
+            const auto it = self.lock();
+            if (!code && it) {
+                it->close();
+            }
+        });
+        discard_input();
+    }
+
+    void discard_input() {
+        buffer_.clear();
+        stream_.async_read_some(buffer_.prepare(discard_bytes),
+                                [self = shared_from_this()](error_code ec, std::size_t) {
+                                    if (ec) {
+                                        self->close();
+                                        return;
+                                    }
+                                    self->discard_input();
+                                });
+    }
+
     void dispatch();
 
     void close() {
@@ -238,6 +287,8 @@
     state state_ = state::idle;
     bool keep_alive_ = true;
     bool wait_pending_ = false;
+    bool read_timed_out_ = false;
+    bool unread_input_ = false;
 };
 
 /// Ties an answer to the request with its serial number on the connection, so that a late answer can't reach
--- a/src/libbaobabswitch/node.cpp
+++ b/src/libbaobabswitch/node.cpp
@@ -1,6 +1,7 @@
 #include "node.h"
 
 #include "entry.h"
+#include "keyowner.h"
 #include "log.h"
 #include "peermessages.h"
 #include "targetside.h"
@@ -14,6 +15,14 @@
 constexpr milliseconds tick_period{100};
 constexpr std::chrono::seconds gossip_period{1};
 constexpr milliseconds gossip_timeout{500};
+/// Least time from the start of a drain to the exit, so that other nodes learn of it before connections to
+/// this node fail.
+constexpr milliseconds drain_notice{1000};
+/// Time for the last answers to go out.
+constexpr milliseconds farewell{100};
+
+constexpr unsigned status_request_timeout = 408;
+constexpr unsigned status_header_too_large = 431;
 
 error read_error(http_read_error kind) {
     switch (kind) {
@@ -84,7 +93,13 @@
         call_outcome outcome;
         outcome.kind = outcome_kind::not_run;
         outcome.cause = std::move(cause);
-        return make_caller_response(std::move(outcome), "");
+        auto response = make_caller_response(std::move(outcome), "");
+        if (kind == http_read_error::header_too_large) {
+            response.status = status_header_too_large;
+        } else if (kind == http_read_error::timeout) {
+            response.status = status_request_timeout;
+        }
+        return response;
     };
     auto server = http_server::listen(
         loop, listen, std::move(options),
@@ -111,31 +126,58 @@
 
 void node::dispatch(http_request request, const std::shared_ptr<http_exchange>& exchange) {
     const auto path = path_of(request.target);
+    if (path.starts_with("/v1/")) {
+        for (const std::string_view name : {"Baobab-Internal-", "Baobab-Mac"}) {
+            if (has_header_prefix(request.headers, name)) {
+                refuse_request(*exchange,
+                               {error_kind::spoofed_header,
+                                "headers that start with " + std::string{name} + " are reserved for nodes",
+                                "send the request without them"});
+                return;
+            }
+        }
+    }
     if (path.starts_with("/v1/call/") && request.method == "POST") {
         handle_call(state_, std::move(request), exchange);
     } else if (path == "/v1/keys" && request.method == "POST") {
         handle_issue_keys(state_, request, *exchange);
-    } else if (path == "/n/announce" && exchange->remote_host().starts_with("127.")) {
+    } else if (path.starts_with("/v1/outcomes/") && request.method == "GET") {
+        handle_outcome(state_, request, exchange);
+    } else if (path == "/n/announce" && request.method == "POST" &&
+               exchange->remote_host().starts_with("127.")) {
         handle_announce(state_, request, *exchange);
     } else if (path.starts_with("/n/")) {
-        dispatch_peer(request, exchange);
+        dispatch_peer(std::move(request), exchange);
     } else {
-        exchange->respond(
-            json_response(404, error_body({error_kind::not_found, "there is nothing at this path",
-                                           "see docs/callers.md for the interface"})));
+        refuse_request(*exchange, {error_kind::not_found, "there is nothing at this path for this method",
+                                   "see docs/callers.md for the interface"});
     }
 }
 
-void node::dispatch_peer(const http_request& request, const std::shared_ptr<http_exchange>& exchange) {
+void node::refuse_request(http_exchange& exchange, error cause) {
+    state_.metrics.count_event(error_name(cause.kind));
+    call_outcome outcome;
+    outcome.kind = outcome_kind::not_run;
+    outcome.cause = std::move(cause);
+    exchange.respond(make_caller_response(std::move(outcome), ""));
+}
+
+void node::dispatch_peer(http_request request, const std::shared_ptr<http_exchange>& exchange) {
     const auto verified = verify_peer_request(state_, request);
     if (!verified) {
         state_.metrics.count_event("bad-mac");
-        exchange->respond(json_response(403, error_body(verified.error())));
+        // The refusal is certain knowledge that nothing ran, which the sender needs for its outcome.
+        exchange->respond(make_hop_response(make_failure(outcome_kind::not_run, verified.error().kind,
+                                                         verified.error().message, verified.error().remedy)));
         return;
     }
     const auto path = path_of(request.target);
     if (path.starts_with("/n/call/")) {
         handle_hop(state_, request, exchange);
+    } else if (path.starts_with("/n/cancel/")) {
+        handle_cancel(state_, request, *exchange);
+    } else if (path.starts_with("/n/key/")) {
+        handle_key_message(state_, std::move(request), exchange);
     } else if (path == "/n/gossip") {
         merge_members(state_, request.body);
         exchange->respond(json_response(200, members_to_json(state_.members).dump()));
@@ -184,8 +226,10 @@
     }
     log(log_level::info, "node", "shutting down; waiting for calls in flight");
     state_.draining = true;
+    drain_started_ = clock::now();
     if (state_.target.state == target_state::up) {
         state_.target.state = target_state::leaving;
+        state_.target.leaving_since = drain_started_;
     }
     update_own_entry(state_);
     gossip();
@@ -193,12 +237,12 @@
 }
 
 void node::stop_when_idle() {
-    if (state_.calls.empty() && state_.entering == 0) {
+    if (state_.calls.empty() && state_.entering == 0 && clock::now() - drain_started_ >= drain_notice) {
         log(log_level::info, "node", "no call is in flight; stopping");
         check(state_.invariants, invariant::graceful_stop, state_.calls.empty() && state_.entering == 0,
               "stopped with calls in flight");
-        // Leaves the last answers time to go out.
-        state_.loop.schedule(tick_period, [this] { state_.loop.stop(); });
+        server_->stop_accepting();
+        state_.loop.schedule(farewell, [this] { state_.loop.stop(); });
         return;
     }
     state_.loop.schedule(tick_period, [this] { stop_when_idle(); });
--- a/src/libbaobabswitch/node.h
+++ b/src/libbaobabswitch/node.h
@@ -22,13 +22,15 @@
 
 private:
     void dispatch(http_request request, const std::shared_ptr<http_exchange>& exchange);
-    void dispatch_peer(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
+    void dispatch_peer(http_request request, const std::shared_ptr<http_exchange>& exchange);
     void tick();
     void gossip();
     void stop_when_idle();
+    void refuse_request(http_exchange& exchange, error cause);
 
     node_state state_;
     std::unique_ptr<http_server> server_;
+    time_point drain_started_;
 };
 
 } // namespace baobabswitch
--- a/src/libbaobabswitch/nodestate.cpp
+++ b/src/libbaobabswitch/nodestate.cpp
@@ -6,9 +6,13 @@
 
 namespace {
 
+constexpr std::size_t hop_header_bytes = 4096;
+
 http_client_options peer_options(const node_settings& settings) {
     http_client_options options;
     options.limits = settings.limits;
+    // A hop's answer carries the target's headers and those between nodes.
+    options.limits.header_bytes += hop_header_bytes;
     options.connections_per_endpoint = settings.peer_connections;
     options.source_host = settings.source_host;
     return options;
@@ -38,6 +42,11 @@
       rng(std::random_device{}()),
       incarnation(start_time()) {}
 
+void trace_call(node_state& node, std::string_view request, std::string_view call, std::string_view event,
+                std::string detail) {
+    note(node.trace, request, call, event, std::move(detail), clock::now());
+}
+
 std::string next_call_id(node_state& node) {
     return node.settings.node_id + "." + std::to_string(node.incarnation) + "." +
            std::to_string(++node.last_call);
--- a/src/libbaobabswitch/nodestate.h
+++ b/src/libbaobabswitch/nodestate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission.h"
+#include "calltrace.h"
 #include "calltypes.h"
 #include "configdocument.h"
 #include "eventloop.h"
@@ -14,13 +15,19 @@
 #include "settings.h"
 #include "targetchoice.h"
 
+#include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace baobabswitch {
 
+class outgoing_call;
+
+/// Bound on each table of calls (§10 of the design).
+inline constexpr std::size_t max_calls = 20'000;
+
 /// The target beside this node, as it announced itself.
 struct local_target {
     std::string service;
@@ -29,6 +36,7 @@
     std::size_t connections = 0;
     target_state state = target_state::none;
     time_point last_announced;
+    time_point leaving_since; ///< set while the state is leaving
 };
 
 /// A call that this node received for its target.
@@ -36,11 +44,15 @@
     call_info info;
     retry_ledger ledger; ///< for the children of the call
     std::function<void(call_outcome)> finish;
-    bool sent = false; ///< handed to the target
+    send_marks sends;       ///< one while the target may have run the call
+    bool sent = false;      ///< was handed to the target
+    bool cancelled = false; ///< the target was told to stop it
     http_client::exchange_id exchange = 0;
     time_point received;
     time_point started;
-    std::set<std::string> child_labels;
+    /// Non-idempotent child calls by their label.
+    std::map<std::string, std::shared_ptr<key_record>> labels;
+    std::vector<std::weak_ptr<outgoing_call>> children; ///< child calls on their way
 };
 
 /// All that the systems on the event loop of a node share. Event loop thread only.
@@ -64,10 +76,15 @@
     admission_table admission;
     std::unordered_map<std::string, target_call> calls; ///< at the target beside this node, by call id
     key_table keys;
+    call_trace trace;
     bool draining = false;
     std::size_t entering = 0; ///< calls that entered here and have no answer yet
 };
 
+/// Records a decision on a request for explain.
+void trace_call(node_state& node, std::string_view request, std::string_view call, std::string_view event,
+                std::string detail);
+
 /// Returns a new call id "<node>.<incarnation>.<n>".
 std::string next_call_id(node_state& node);
 
--- a/src/libbaobabswitch/outgoingcall.cpp
+++ b/src/libbaobabswitch/outgoingcall.cpp
@@ -14,6 +14,8 @@
 /// Time kept back at each hop, so that the node beside the target can still report a call that expired there.
 constexpr milliseconds transit_allowance{2};
 
+constexpr milliseconds cancel_timeout{500};
+
 milliseconds remaining(const call_info& info, time_point now) {
     return std::chrono::duration_cast<milliseconds>(info.deadline - now);
 }
@@ -25,7 +27,8 @@
         return make_failure(kind, error_kind::timeout, "no answer within the call's time",
                             "ask for the outcome with the request key, or allow more time");
     case http_failure_kind::cancelled:
-        return make_failure(kind, error_kind::cancelled, "the caller gave up", "nothing to do");
+        return make_failure(kind, error_kind::cancelled, "the call was given up before its answer",
+                            "ask for the outcome with the request key");
     case http_failure_kind::truncated:
     case http_failure_kind::malformed:
         return make_failure(kind, error_kind::target_garbage,
@@ -40,10 +43,12 @@
 
 } // namespace
 
-outgoing_call::outgoing_call(node_state& node, call_info info, retry_ledger ledger, callback on_done)
+outgoing_call::outgoing_call(node_state& node, call_info info, retry_ledger ledger,
+                             std::shared_ptr<key_record> record, callback on_done)
     : node_(node),
       info_(std::move(info)),
       ledger_(ledger),
+      record_(std::move(record)),
       on_done_(std::move(on_done)) {}
 
 void outgoing_call::start() {
@@ -51,18 +56,32 @@
 }
 
 void outgoing_call::cancel() {
+    if (cancelled_ || finished_) {
+        return;
+    }
     cancelled_ = true;
-    if (exchange_ != 0) {
+    trace_call(node_, info_.request, info_.call, "cancelled", "nobody waits for the answer");
+    if (exchange_ == 0) {
+        return;
+    }
+    if (record_ == nullptr) {
         node_.peers.cancel(exchange_);
+    } else if (!node_.peers.cancel_if_unsent(exchange_)) {
+        node_.peers.send(peer_, make_peer_request(node_, "POST", "/n/cancel/" + info_.call, {}, ""),
+                         cancel_timeout, [](const http_result&) {});
     }
 }
 
+send_marks& outgoing_call::marks() {
+    return record_ ? record_->sends : own_marks_;
+}
+
 void outgoing_call::attempt() {
     const auto now = clock::now();
     const auto left_time = remaining(info_, now) - transit_allowance;
     if (left_time <= milliseconds{0}) {
-        const auto kind = sent_once_ ? outcome_kind::unknown : outcome_kind::not_run;
-        finish(make_failure(kind, error_kind::expired, "the call's time ran out before a target took it",
+        finish(make_failure(outcome_kind::not_run, error_kind::expired,
+                            "the call's time ran out before a target took it",
                             "allow more time, or try again when load is lower"));
         return;
     }
@@ -78,9 +97,11 @@
     const auto loan = lend(ledger_, node_.invariants);
     info_.call = next_call_id(node_);
     on_sent(node_.choice, *target);
-    const auto peer = node_.choice.targets.find(*target)->second.address;
+    trace_call(node_, info_.request, info_.call, "target-chosen", *target);
+    mark_sent(marks(), info_.idempotent, node_.invariants);
+    peer_ = node_.choice.targets.find(*target)->second.address;
     exchange_ =
-        node_.peers.send(peer, make_hop_request(node_, info_, loan, left_time), remaining(info_, now),
+        node_.peers.send(peer_, make_hop_request(node_, info_, loan, left_time), remaining(info_, now),
                          [self = shared_from_this(), target = *target, loan, now](http_result outcome) {
                              self->on_result(target, loan, now, std::move(outcome));
                          });
@@ -93,6 +114,14 @@
     std::optional<duration> latency;
     if (auto* response = std::get_if<http_response>(&outcome)) {
         parsed = parse_hop_response(std::move(*response));
+        if (parsed.kind == outcome_kind::done &&
+            !check(node_.invariants, invariant::whole_answer, answer_belongs_to(parsed, info_.call),
+                   "an answer has another call's id or length")) {
+            parsed = make_failure(outcome_kind::unknown, error_kind::target_garbage,
+                                  "the answer belongs to another call or is incomplete",
+                                  "ask for the outcome with the request key");
+        }
+        parsed.spent = std::min(parsed.spent, loan);
         give_back(ledger_, loan, parsed.spent, node_.invariants);
         if (parsed.kind == outcome_kind::done) {
             latency = clock::now() - sent_at;
@@ -105,7 +134,11 @@
     }
     on_ended(node_.choice, target, parsed.kind, latency);
     tried_.push_back(target);
+    trace_call(node_, info_.request, info_.call, "attempt-ended",
+               target + ": " + std::string{outcome_name(parsed.kind)} +
+                   (parsed.cause ? ", " + describe(*parsed.cause) : ""));
     if (parsed.kind == outcome_kind::not_run) {
+        mark_not_run(marks());
         on_not_run(std::move(parsed));
     } else if (parsed.kind == outcome_kind::unknown) {
         on_unknown(std::move(parsed));
@@ -125,6 +158,7 @@
         return false;
     }
     node_.metrics.count_event("retry");
+    trace_call(node_, info_.request, info_.call, "retry", std::to_string(left(ledger_)) + " retries left");
     return true;
 }
 
@@ -140,15 +174,10 @@
         attempt();
         return;
     }
-    if (sent_once_) {
-        // An earlier attempt may have run, so the request as a whole is not certain to be "not run".
-        outcome.kind = outcome_kind::unknown;
-    }
     finish(std::move(outcome));
 }
 
 void outgoing_call::on_unknown(call_outcome outcome) {
-    sent_once_ = true;
     if (info_.idempotent && may_retry()) {
         attempt();
         return;
@@ -161,6 +190,10 @@
         return;
     }
     finished_ = true;
+    if (outcome.kind == outcome_kind::not_run && marks().open > 0) {
+        // An earlier attempt may have run, so the request as a whole is not certain to be "not run".
+        outcome.kind = outcome_kind::unknown;
+    }
     outcome.spent = ledger_.spent + ledger_.lent;
     on_done_(std::move(outcome));
 }
--- a/src/libbaobabswitch/outgoingcall.h
+++ b/src/libbaobabswitch/outgoingcall.h
@@ -14,11 +14,15 @@
 public:
     using callback = std::function<void(call_outcome)>;
 
-    outgoing_call(node_state& node, call_info info, retry_ledger ledger, callback on_done);
+    /// `record` is the record of a keyed request or labelled child call; without one the call keeps its own
+    /// marks.
+    outgoing_call(node_state& node, call_info info, retry_ledger ledger, std::shared_ptr<key_record> record,
+                  callback on_done);
 
     /// Sends the first attempt. The callback runs exactly once, possibly before this returns.
     void start();
-    /// Gives the call up; nobody waits for its answer any more. The callback still runs.
+    /// Gives the call up; nobody waits for its answer any more. The callback still runs. A call with a record
+    /// keeps its exchange open once it was sent, so that the record gets the final outcome.
     void cancel();
 
 private:
@@ -28,15 +32,18 @@
     void on_unknown(call_outcome outcome);
     void finish(call_outcome outcome);
     bool may_retry();
+    send_marks& marks();
 
     node_state& node_;
     call_info info_;
     retry_ledger ledger_;
+    std::shared_ptr<key_record> record_;
+    send_marks own_marks_;
     callback on_done_;
     std::vector<std::string> tried_;
     unsigned local_retries_ = 0; ///< baselines only
     http_client::exchange_id exchange_ = 0;
-    bool sent_once_ = false; ///< an attempt may have run
+    endpoint peer_; ///< of the exchange
     bool finished_ = false;
     bool cancelled_ = false;
 };
--- a/src/libbaobabswitch/peermessages.cpp
+++ b/src/libbaobabswitch/peermessages.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace baobabswitch {
@@ -10,6 +11,15 @@
 
 constexpr std::string_view internal_prefix = "Baobab-Internal-";
 
+/// Bounds on what a peer may ask for; the durations and retries of a document are below them.
+constexpr std::uint64_t max_hop_timeout_ms = 24ULL * 3600 * 1000;
+constexpr std::uint64_t max_hop_grant = 100;
+constexpr std::uint64_t max_hop_depth = 64;
+
+/// Headers that concern one connection and are not passed on.
+constexpr std::array<std::string_view, 7> connection_headers{
+    "Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade"};
+
 /// Returns the internal headers as one text that the MAC covers.
 std::string signed_headers(const http_headers& headers) {
     std::string buf;
@@ -62,6 +72,8 @@
         return 413;
     case error_kind::bad_mac:
         return 403;
+    case error_kind::not_found:
+        return 404;
     case error_kind::timeout:
         return outcome.kind == outcome_kind::unknown ? 504 : 503;
     default:
@@ -131,6 +143,30 @@
                              info.body);
 }
 
+http_request make_key_request(const node_state& node, const call_info& info, const std::string& key,
+                              milliseconds timeout) {
+    http_headers headers{
+        {"Baobab-Internal-Target", info.service + info.path},
+        {"Baobab-Internal-Kind", info.kind},
+        {"Baobab-Internal-Timeout-Ms", std::to_string(timeout.count())},
+    };
+    return make_peer_request(node, "POST", "/n/key/" + key, std::move(headers), info.body);
+}
+
+bool answer_belongs_to(const call_outcome& outcome, std::string_view call) {
+    const auto length = number(outcome.answer.headers, "Content-Length");
+    return outcome.answered_call == call && (!length || *length == outcome.answer.body.size());
+}
+
+void strip_reserved_headers(http_headers& headers) {
+    std::erase_if(headers, [](const auto& it) {
+        return has_header_prefix({it}, "Baobab-") || has_header_prefix({it}, "Retry-After-Ms") ||
+               std::any_of(connection_headers.begin(), connection_headers.end(), [&](std::string_view name) {
+                   return it.first.size() == name.size() && has_header_prefix({it}, name);
+               });
+    });
+}
+
 result<call_info> parse_hop_request(const http_request& request, time_point now) {
     const auto& headers = request.headers;
     const auto importance = number(headers, "Baobab-Internal-Importance");
@@ -145,6 +181,7 @@
     info.request = header_or_empty(headers, "Baobab-Internal-Request");
     info.kind = header_or_empty(headers, "Baobab-Internal-Kind");
     if (!importance || *importance > max_importance || !timeout || !grant || !depth ||
+        *timeout > max_hop_timeout_ms || *grant > max_hop_grant || *depth > max_hop_depth ||
         slash == std::string_view::npos || info.call.empty() || info.request.empty()) {
         return error{error_kind::malformed, "a call from another node lacks a header or has a bad one",
                      "check that all nodes run the same version"};
@@ -162,14 +199,15 @@
 }
 
 http_response make_hop_response(call_outcome outcome) {
+    const auto status = status_of(outcome);
     http_response response;
-    response.status = status_of(outcome);
-    if (outcome.kind == outcome_kind::done) {
+    if (outcome.kind == outcome_kind::done || outcome.kind == outcome_kind::promised) {
         response = std::move(outcome.answer);
     } else if (outcome.cause) {
         response.headers.emplace_back("Content-Type", "application/json");
         response.body = error_body(*outcome.cause);
     }
+    response.status = status;
     response.headers.emplace_back("Baobab-Outcome", outcome_name(outcome.kind));
     response.headers.emplace_back("Baobab-Internal-Spent", std::to_string(outcome.spent));
     response.headers.emplace_back("Baobab-Internal-Threshold", std::to_string(outcome.threshold));
@@ -189,14 +227,20 @@
     outcome.spent = static_cast<unsigned>(number(response.headers, "Baobab-Internal-Spent").value_or(0));
     const auto threshold = number(response.headers, "Baobab-Internal-Threshold").value_or(0);
     outcome.threshold = static_cast<importance_level>(std::min<std::uint64_t>(threshold, max_importance));
-    outcome.wait = milliseconds{number(response.headers, "Baobab-Internal-Wait-Ms").value_or(0)};
-    if (outcome.kind != outcome_kind::done) {
+    const auto wait = number(response.headers, "Baobab-Internal-Wait-Ms").value_or(0);
+    outcome.wait = milliseconds{std::min(wait, max_hop_timeout_ms)};
+    outcome.answered_call = header_or_empty(response.headers, "Baobab-Internal-Call");
+    if (outcome.kind != outcome_kind::done && outcome.kind != outcome_kind::promised) {
         const auto body = nlohmann::json::parse(response.body, nullptr, false);
         error cause{error_kind::internal, "the node beside the target gave no cause", "see that node's log"};
         if (body.is_object()) {
-            cause.kind = error_from_name(body.value("error", ""));
-            cause.message = body.value("message", "");
-            cause.remedy = body.value("remedy", "");
+            const auto text = [&](const char* name) {
+                const auto it = body.find(name);
+                return it != body.end() && it->is_string() ? it->get<std::string>() : std::string{};
+            };
+            cause.kind = error_from_name(text("error"));
+            cause.message = text("message");
+            cause.remedy = text("remedy");
         }
         outcome.cause = std::move(cause);
         return outcome;
--- a/src/libbaobabswitch/peermessages.h
+++ b/src/libbaobabswitch/peermessages.h
@@ -23,6 +23,17 @@
 /// Reads a call from such a message. Fails with malformed.
 result<call_info> parse_hop_request(const http_request& request, time_point now);
 
+/// Builds the message that passes a keyed call to the key's owner. The owner reads the kind, the target and
+/// the timeout from internal headers.
+http_request make_key_request(const node_state& node, const call_info& info, const std::string& key,
+                              milliseconds timeout);
+
+/// Reports whether a done answer carries the id of the call that it should answer, and its whole body.
+bool answer_belongs_to(const call_outcome& outcome, std::string_view call);
+
+/// Removes the headers that only nodes set and those that belong to one connection from a target's answer.
+void strip_reserved_headers(http_headers& headers);
+
 /// Builds the answer to a hop from its outcome, and reads it.
 http_response make_hop_response(call_outcome outcome);
 call_outcome parse_hop_response(http_response response);
--- a/src/libbaobabswitch/requestkeys.cpp
+++ b/src/libbaobabswitch/requestkeys.cpp
@@ -2,6 +2,8 @@
 
 #include "httpmessage.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <array>
 
@@ -12,6 +14,11 @@
 constexpr std::size_t max_keys = 50'000;
 constexpr std::chrono::minutes key_lifetime{10};
 constexpr std::size_t key_mac_digits = 16;
+/// Bounds the memory and the answers that one repeated request can claim.
+constexpr std::size_t max_waiters = 16;
+
+constexpr std::array<std::string_view, 6> state_names{"issued",  "running", "done",
+                                                      "not-run", "unknown", "promised"};
 
 std::string key_mac(std::string_view body, const key_ring& ring) {
     const std::array<std::string_view, 2> parts{"request-key", body};
@@ -27,6 +34,29 @@
     });
 }
 
+key_state state_after(outcome_kind kind) {
+    switch (kind) {
+    case outcome_kind::done:
+        return key_state::done;
+    case outcome_kind::not_run:
+        return key_state::not_run;
+    case outcome_kind::promised:
+        return key_state::promised;
+    case outcome_kind::unknown:
+        break;
+    }
+    return key_state::unknown;
+}
+
+std::size_t answer_bytes(const http_response& answer) {
+    // Fixed cost of a record in the list of kept answers.
+    std::size_t sum = sizeof(kept_answer) + answer.body.size();
+    for (const auto& [name, value] : answer.headers) {
+        sum += name.size() + value.size();
+    }
+    return sum;
+}
+
 error bad_key(std::string message) {
     return {error_kind::bad_key, std::move(message), "get a key from POST /v1/keys and send it unchanged"};
 }
@@ -42,7 +72,9 @@
     const auto body =
         std::string{node} + "." + std::to_string(incarnation) + "." + std::to_string(++table.last_serial);
     auto key = body + "." + key_mac(body, ring);
-    table.records[key].issued = now;
+    auto record = std::make_shared<key_record>();
+    record->issued = now;
+    table.records.emplace(key, std::move(record));
     return key;
 }
 
@@ -68,8 +100,127 @@
 
 void expire_keys(key_table& table, time_point now) {
     std::erase_if(table.records, [&](const auto& it) {
-        return it.second.state != key_state::running && now - it.second.issued > key_lifetime;
+        return it.second->state != key_state::running && now - it.second->issued > key_lifetime;
+    });
+    std::erase_if(table.kept, [&](const kept_answer& it) {
+        if (!it.record.expired()) {
+            return false;
+        }
+        table.kept_bytes -= it.bytes;
+        return true;
     });
 }
 
+std::string_view key_state_name(key_state state) {
+    return state_names.at(static_cast<std::size_t>(state));
+}
+
+void mark_sent(send_marks& marks, bool idempotent, invariant_table& invariants) {
+    check(invariants, invariant::at_most_once, idempotent || marks.open == 0,
+          "a non-idempotent request was sent while an earlier attempt may have run");
+    ++marks.open;
+}
+
+void mark_not_run(send_marks& marks) {
+    marks.open -= std::min(marks.open, 1U);
+}
+
+std::uint64_t request_fingerprint(const call_info& info) {
+    // The separator is not allowed in names or paths, so that parts can't move into one another.
+    const auto head = info.kind + "\n" + info.service + "\n" + info.path + "\n";
+    const auto seed = XXH64(head.data(), head.size(), 0);
+    return XXH64(info.body.data(), info.body.size(), seed);
+}
+
+key_arrival arrive(key_record& record, retry_ledger& ledger, std::uint64_t fingerprint, bool accepting,
+                   invariant_table& invariants) {
+    const bool first = record.state == key_state::issued;
+    if (!first && record.fingerprint != fingerprint) {
+        // The key's request may have run, so even this refusal must not say "not run" in its name.
+        const auto kind = record.state == key_state::not_run ? outcome_kind::not_run : outcome_kind::unknown;
+        return {key_step::answer,
+                make_failure(kind, error_kind::bad_key, "the key or label belongs to another request",
+                             "use each key and label for one request only")};
+    }
+    record.repeats += first ? 0 : 1;
+    if (record.state == key_state::running) {
+        return {key_step::wait, {}};
+    }
+    if (!first && record.state != key_state::not_run) {
+        return {key_step::answer, recorded_outcome(record)};
+    }
+    if (!accepting) {
+        return {key_step::answer,
+                make_failure(outcome_kind::not_run, error_kind::draining, "this node is shutting down",
+                             "send the call to another node")};
+    }
+    if (!first && !take(ledger, invariants)) {
+        return {key_step::answer,
+                make_failure(outcome_kind::not_run, error_kind::retry_budget_spent,
+                             "the request has used its retries and did not run", "try later with a new key")};
+    }
+    record.fingerprint = fingerprint;
+    record.state = key_state::running;
+    record.first_caller_gone = false;
+    return {key_step::run, {}};
+}
+
+std::vector<std::function<void(const call_outcome&)>> end_run(key_table& table,
+                                                              const std::shared_ptr<key_record>& record,
+                                                              const call_outcome& outcome,
+                                                              invariant_table& invariants) {
+    check(invariants, invariant::honest_not_run,
+          outcome.kind != outcome_kind::not_run || record->sends.open == 0,
+          "\"not run\" for a request with an attempt that may have run");
+    record->state = state_after(outcome.kind);
+    record->outcome = outcome;
+    record->cancel_run = nullptr;
+    std::vector<std::function<void(const call_outcome&)>> waiters;
+    for (auto& [n, fn] : record->waiters) {
+        waiters.push_back(std::move(fn));
+    }
+    record->waiters.clear();
+    const auto bytes = answer_bytes(outcome.answer);
+    table.kept.push_back({record, bytes});
+    table.kept_bytes += bytes;
+    while (table.kept_bytes > table.max_kept_bytes) {
+        const auto oldest = std::move(table.kept.front());
+        table.kept.pop_front();
+        table.kept_bytes -= oldest.bytes;
+        if (const auto it = oldest.record.lock(); it && it->state != key_state::running) {
+            it->answer_dropped = it->state == key_state::done;
+            it->outcome.answer.body = {};
+            it->outcome.answer.headers = {};
+        }
+    }
+    return waiters;
+}
+
+call_outcome recorded_outcome(const key_record& record) {
+    auto outcome = record.outcome;
+    if (record.state == key_state::issued) {
+        return make_failure(outcome_kind::unknown, error_kind::outcome_unknown,
+                            "no request with this key has arrived", "send the request, or ask again");
+    }
+    if (record.state == key_state::running) {
+        return make_failure(outcome_kind::unknown, error_kind::outcome_unknown,
+                            "the request is still running",
+                            "ask again, or repeat the request to wait for its answer");
+    }
+    outcome.spent = 0;
+    if (record.state == key_state::done && record.answer_dropped) {
+        outcome.answer.headers = {{"Baobab-Answer", "dropped"}, {"Content-Type", "application/json"}};
+        outcome.answer.body = R"({"outcome":"done","answer":"dropped"})";
+    }
+    return outcome;
+}
+
+std::uint64_t add_waiter(key_record& record, std::function<void(const call_outcome&)> fn) {
+    if (record.waiters.size() >= max_waiters) {
+        return 0;
+    }
+    record.waiters.emplace(++record.last_waiter, std::move(fn));
+    return record.last_waiter;
+}
+
 } // namespace baobabswitch
--- a/src/libbaobabswitch/retryledger.cpp
+++ b/src/libbaobabswitch/retryledger.cpp
@@ -33,7 +33,15 @@
     return loan;
 }
 
+unsigned lend_all(retry_ledger& ledger, invariant_table& invariants) {
+    const auto loan = left(ledger);
+    ledger.lent += loan;
+    check_bound(ledger, invariants);
+    return loan;
+}
+
 void give_back(retry_ledger& ledger, unsigned loan, unsigned spent, invariant_table& invariants) {
+    check(invariants, invariant::retry_bound, spent <= loan, "a borrower spent more retries than its loan");
     ledger.lent -= std::min(ledger.lent, loan);
     ledger.spent += std::min(spent, loan);
     check_bound(ledger, invariants);
--- a/src/libbaobabswitch/retryledger.h
+++ b/src/libbaobabswitch/retryledger.h
@@ -21,6 +21,9 @@
 /// Lends half of what is left, rounded up, to one child and returns the amount.
 unsigned lend(retry_ledger& ledger, invariant_table& invariants);
 
+/// Lends all that is left to the run of a request, which holds the budget until it ends.
+unsigned lend_all(retry_ledger& ledger, invariant_table& invariants);
+
 /// Settles a loan when its answer is known; `spent` is cut to the loan.
 void give_back(retry_ledger& ledger, unsigned loan, unsigned spent, invariant_table& invariants);
 
--- a/src/libbaobabswitch/targetside.cpp
+++ b/src/libbaobabswitch/targetside.cpp
@@ -1,18 +1,38 @@
 #include "targetside.h"
 
 #include "log.h"
+#include "outgoingcall.h"
 #include "peermessages.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace baobabswitch {
 
 namespace {
 
 constexpr std::chrono::seconds announcement_lifetime{3};
+/// How long a draining node still hands queued calls to its target; a leaving target gets no new work after
+/// 3 s (P6).
+constexpr std::chrono::seconds drain_grace{2};
+constexpr std::chrono::seconds leaving_limit{3};
+
+constexpr std::string_view cancel_prefix = "/n/cancel/";
+constexpr std::int64_t max_announced_slots = 10'000;
+constexpr std::int64_t max_announced_connections = 100'000;
 
 void start_calls(node_state& node, const std::vector<std::string>& calls);
 
+/// Gives up the child calls of a call that was cancelled or failed: nobody uses their answers any more.
+void cancel_children(const target_call& parent) {
+    for (const auto& it : parent.children) {
+        if (const auto child = it.lock()) {
+            child->cancel();
+        }
+    }
+}
+
 /// Ends a call: tells its sender, frees its slot and starts what waited for it.
 void finish_call(node_state& node, const std::string& call, call_outcome outcome) {
     const auto it = node.calls.find(call);
@@ -22,27 +42,52 @@
     auto ended = std::move(it->second);
     node.calls.erase(it);
     check(node.invariants, invariant::honest_not_run,
-          outcome.kind != outcome_kind::not_run || !ended.sent || outcome.cause->kind == error_kind::shed ||
-              outcome.cause->kind == error_kind::target_failed,
+          outcome.kind != outcome_kind::not_run || ended.sends.open == 0,
           "\"not run\" for a call that was handed to the target");
+    trace_call(node, ended.info.request, call, "ended",
+               std::string{outcome_name(outcome.kind)} +
+                   (outcome.cause ? ", " + describe(*outcome.cause) : ""));
     outcome.spent = ended.ledger.spent + ended.ledger.lent;
     outcome.threshold = admitted_importance(node.admission);
+    const bool completed = outcome.kind == outcome_kind::done;
     ended.finish(std::move(outcome));
+    if (!completed) {
+        cancel_children(ended);
+    }
     start_calls(node, complete(node.admission, call));
 }
 
 call_outcome outcome_of(http_result result) {
     if (auto* response = std::get_if<http_response>(&result)) {
         if (response->status == 503 && header_or_empty(response->headers, "Baobab-Not-Run") == "1") {
-            return make_failure(outcome_kind::not_run, error_kind::shed, "the target shed the call",
+            const bool cancelled = header_or_empty(response->headers, "Baobab-Cancelled") == "1";
+            return make_failure(outcome_kind::not_run, cancelled ? error_kind::cancelled : error_kind::shed,
+                                cancelled ? "the target stopped the call before it started"
+                                          : "the target shed the call",
                                 "try again later");
         }
+        if (header_or_empty(response->headers, "Baobab-Cancelled") == "1") {
+            return make_failure(outcome_kind::unknown, error_kind::cancelled,
+                                "the target stopped the call, which may have started",
+                                "ask for the outcome with the request key");
+        }
+        if (response->status < 200) {
+            return make_failure(outcome_kind::unknown, error_kind::target_garbage,
+                                "the target answered with status " + std::to_string(response->status),
+                                "ask for the outcome with the request key");
+        }
         call_outcome outcome;
         outcome.kind = outcome_kind::done;
         outcome.answer = std::move(*response);
+        strip_reserved_headers(outcome.answer.headers);
         return outcome;
     }
     const auto& failure = std::get<http_failure>(result);
+    if (!failure.sent && failure.kind == http_failure_kind::timeout) {
+        return make_failure(outcome_kind::not_run, error_kind::expired,
+                            "the call's time ran out before a connection to the target was free",
+                            "allow more time");
+    }
     if (!failure.sent) {
         return make_failure(outcome_kind::not_run, error_kind::target_failed,
                             "the target can't be reached: " + failure.detail, "try again later");
@@ -70,6 +115,14 @@
 /// outcome.
 void cancel_at_target(node_state& node, const std::string& call) {
     constexpr milliseconds cancel_timeout{500};
+    if (const auto it = node.calls.find(call); it != node.calls.end()) {
+        if (it->second.cancelled) {
+            return;
+        }
+        it->second.cancelled = true;
+        trace_call(node, it->second.info.request, call, "cancelled", "the target was told to stop");
+        cancel_children(it->second);
+    }
     node.metrics.count_event("cancel");
     node.targets.send(node.target.address, {"POST", "/cancel/" + call, {}, ""}, cancel_timeout,
                       [](const http_result&) {});
@@ -85,8 +138,13 @@
                                  "the call's time ran out in the queue", "allow more time"));
         return;
     }
+    check(node.invariants, invariant::leaving_refuses,
+          node.target.state == target_state::up || now - node.target.leaving_since < leaving_limit,
+          "a target that is leaving was given a call");
     it.sent = true;
     it.started = now;
+    mark_sent(it.sends, it.info.idempotent, node.invariants);
+    trace_call(node, it.info.request, call, "sent", "to the target");
     http_request request{"POST",
                          it.info.path,
                          {{"Baobab-Request", it.info.request},
@@ -101,7 +159,12 @@
                 node.config->policy.mode != policy_mode::direct) {
                 cancel_at_target(node, call);
             }
-            finish_call(node, call, outcome_of(std::move(result)));
+            auto outcome = outcome_of(std::move(result));
+            if (const auto found = node.calls.find(call);
+                found != node.calls.end() && outcome.kind == outcome_kind::not_run) {
+                mark_not_run(found->second.sends);
+            }
+            finish_call(node, call, std::move(outcome));
         });
 }
 
@@ -113,12 +176,26 @@
     }
 }
 
+/// Ends the calls that wait for a target that takes no new work; their senders can use other targets.
+void refuse_waiting(node_state& node, error_kind cause, const std::string& message) {
+    std::vector<std::string> waiting;
+    for (const auto& [order, it] : node.admission.waiting) {
+        waiting.push_back(it.call);
+    }
+    // Out of the queue first, so that ending one starts none of the others.
+    node.admission.waiting.clear();
+    for (const auto& it : waiting) {
+        finish_call(node, it, make_failure(outcome_kind::not_run, cause, message, "use another target"));
+    }
+}
+
 /// The sender has gone: a waiting call is dropped, a running one is cancelled if its kind allows it.
 void abandon_call(node_state& node, const std::string& call) {
     const auto it = node.calls.find(call);
     if (it == node.calls.end() || node.config->policy.mode == policy_mode::direct) {
         return;
     }
+    trace_call(node, it->second.info.request, call, "abandoned", "the sender gave up");
     if (!it->second.sent) {
         finish_call(node, call,
                     make_failure(outcome_kind::not_run, error_kind::cancelled, "the sender gave up", ""));
@@ -136,6 +213,9 @@
 void apply(node_state& node, const std::string& call, const admission_decision& decision) {
     for (const auto& it : decision.evicted) {
         node.metrics.count_event("evicted");
+        if (const auto found = node.calls.find(it); found != node.calls.end()) {
+            trace_call(node, found->second.info.request, it, "evicted", "by the more important call " + call);
+        }
         finish_call(node, it,
                     make_failure(outcome_kind::not_run, error_kind::shed,
                                  "more important work took the place in the queue", "try again later"));
@@ -154,12 +234,80 @@
     }
 }
 
+error bad_announcement(std::string_view field, std::string remedy) {
+    return {error_kind::malformed, "the announcement's \"" + std::string{field} + "\" is missing or wrong",
+            std::move(remedy)};
+}
+
+/// Reads a whole number of an announcement within bounds, or the default if it is absent.
+std::optional<std::size_t> announced_number(const nlohmann::json& body, const char* name, std::size_t absent,
+                                            std::int64_t greatest) {
+    const auto it = body.find(name);
+    if (it == body.end()) {
+        return absent;
+    }
+    if (!it->is_number_unsigned() || it->get<std::uint64_t>() == 0 ||
+        it->get<std::uint64_t>() > static_cast<std::uint64_t>(greatest)) {
+        return std::nullopt;
+    }
+    return it->get<std::size_t>();
+}
+
+bool is_service_name(std::string_view text) {
+    return !text.empty() && text.size() <= 64 &&
+           text.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-") == std::string_view::npos;
+}
+
+/// Reads an announcement. The address must be on this VM, so that nobody points the node at another host.
+result<local_target> parse_announcement(const node_state& node, const std::string& text) {
+    const auto body = nlohmann::json::parse(text, nullptr, false);
+    if (!body.is_object()) {
+        return error{error_kind::malformed, "the announcement is not a JSON object",
+                     "send {\"service\", \"address\", \"slots\", \"connections\", \"state\"}"};
+    }
+    const auto field = [&](const char* name) {
+        const auto it = body.find(name);
+        return it != body.end() && it->is_string() ? it->get<std::string>() : std::string{};
+    };
+    local_target it;
+    it.service = field("service");
+    if (!is_service_name(it.service)) {
+        return bad_announcement("service", "send 1 to 64 of the characters a-z, 0-9 and -");
+    }
+    const auto address = parse_endpoint(field("address"));
+    if (!address || address.value().port == 0 ||
+        (!address.value().host.starts_with("127.") && address.value().host != node.settings.listen.host &&
+         address.value().host != node.settings.advertise.host)) {
+        return bad_announcement("address", "send an IPv4 address of this VM with a port");
+    }
+    it.address = address.value();
+    const auto slots = announced_number(body, "slots", 1, max_announced_slots);
+    if (!slots) {
+        return bad_announcement("slots", "send a whole number from 1 to 10000");
+    }
+    constexpr std::size_t default_connections = 16;
+    const auto connections =
+        announced_number(body, "connections", default_connections, max_announced_connections);
+    if (!connections) {
+        return bad_announcement("connections", "send a whole number from 1 to 100000");
+    }
+    it.slots = *slots;
+    it.connections = *connections;
+    const auto state = body.contains("state") ? field("state") : "up";
+    if (state != "up" && state != "leaving") {
+        return bad_announcement("state", "send \"up\" or \"leaving\"");
+    }
+    it.state = state == "up" ? target_state::up : target_state::leaving;
+    return it;
+}
+
 } // namespace
 
 void handle_hop(node_state& node, const http_request& request,
                 const std::shared_ptr<http_exchange>& exchange) {
     auto parsed = parse_hop_request(request, clock::now());
     if (!parsed) {
+        node.metrics.count_event(error_name(parsed.error().kind));
         refuse_hop(*exchange, parsed.error().kind, parsed.error().message, parsed.error().remedy);
         return;
     }
@@ -176,41 +324,61 @@
                    "send each call once");
         return;
     }
+    if (node.calls.size() >= max_calls) {
+        node.metrics.count_event(error_name(error_kind::overloaded));
+        refuse_hop(*exchange, error_kind::overloaded, "this node holds as many calls as it can",
+                   "use another target");
+        return;
+    }
     check(node.invariants, invariant::leaving_refuses,
           node.target.state == target_state::up && !node.draining,
           "a target that is leaving was given a call");
+    trace_call(node, info.request, info.call, "hop-arrived", info.kind);
     const auto call = info.call;
     admission_entry entry{call, info.kind, info.importance, info.depth, info.cancellable, info.deadline, 0};
     target_call added;
     added.ledger.granted = info.grant;
     added.info = std::move(info);
     added.received = clock::now();
-    added.finish = [exchange](call_outcome outcome) {
-        exchange->respond(make_hop_response(std::move(outcome)));
+    added.finish = [exchange, call](call_outcome outcome) {
+        auto response = make_hop_response(std::move(outcome));
+        response.headers.emplace_back("Baobab-Internal-Call", call);
+        exchange->respond(std::move(response));
     };
     node.calls.emplace(call, std::move(added));
     exchange->on_abandoned([&node, call] { abandon_call(node, call); });
     apply(node, call, submit(node.admission, std::move(entry), node.invariants));
 }
 
+void handle_cancel(node_state& node, const http_request& request, http_exchange& exchange) {
+    abandon_call(node, std::string{path_of(request.target).substr(cancel_prefix.size())});
+    exchange.respond(json_response(200, "{}"));
+}
+
 void handle_announce(node_state& node, const http_request& request, http_exchange& exchange) {
-    const auto body = nlohmann::json::parse(request.body, nullptr, false);
-    const auto address = parse_endpoint(body.is_object() ? body.value("address", "") : "");
-    if (!address || !body.contains("service")) {
-        exchange.respond(json_response(
-            400, error_body({error_kind::malformed, "the announcement lacks its service or address",
-                             "send {\"service\", \"address\", \"slots\", \"connections\", \"state\"}"})));
+    const auto parsed = parse_announcement(node, request.body);
+    if (!parsed) {
+        node.metrics.count_event("bad-announcement");
+        exchange.respond(json_response(400, error_body(parsed.error())));
         return;
     }
-    node.target.service = body.value("service", "");
-    node.target.address = address.value();
-    node.target.slots = body.value("slots", std::size_t{1});
-    node.target.connections = body.value("connections", std::size_t{16});
-    const bool leaving = node.draining || body.value("state", "up") == "leaving";
-    node.target.state = leaving ? target_state::leaving : target_state::up;
-    node.target.last_announced = clock::now();
+    const auto& next = parsed.value();
+    auto& target = node.target;
+    const bool was_leaving = target.state == target_state::leaving;
+    target.service = next.service;
+    target.address = next.address;
+    target.slots = next.slots;
+    target.connections = next.connections;
+    target.state = node.draining ? target_state::leaving : next.state;
+    target.last_announced = clock::now();
+    if (target.state == target_state::leaving && !was_leaving) {
+        target.leaving_since = target.last_announced;
+    }
     update_admission_limits(node);
     update_own_entry(node);
+    if (next.state == target_state::leaving) {
+        refuse_waiting(node, error_kind::draining, "the target is leaving");
+    }
     exchange.respond(json_response(200, "{}"));
 }
 
@@ -240,6 +408,10 @@
             {{"service", node.target.service}});
         node.target.state = target_state::down;
         update_own_entry(node);
+        refuse_waiting(node, error_kind::no_target, "the target stopped announcing itself");
+    }
+    if (node.target.state == target_state::leaving && now - node.target.leaving_since > drain_grace) {
+        refuse_waiting(node, error_kind::draining, "the target is leaving");
     }
     start_calls(node, start_waiting(node.admission));
 }
--- a/src/libbaobabswitch/targetside.h
+++ b/src/libbaobabswitch/targetside.h
@@ -10,6 +10,9 @@
 void handle_hop(node_state& node, const http_request& request,
                 const std::shared_ptr<http_exchange>& exchange);
 
+/// Handles POST /n/cancel/<call id>: the sender of a call gives it up, and its exchange stays open.
+void handle_cancel(node_state& node, const http_request& request, http_exchange& exchange);
+
 /// Handles POST /n/announce from the target on this VM.
 void handle_announce(node_state& node, const http_request& request, http_exchange& exchange);
 
