--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -1,9 +1,14 @@
+#include "eventloopimpl.h"
 #include "httpclient.h"
 #include "httpserver.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 using namespace baobabswitch;
+namespace asio = boost::asio;
 
 namespace {
 
@@ -94,3 +99,53 @@
     loop.run();
     CHECK(status == 413);
 }
+
+TEST_CASE("a client that sends too slowly gets a typed answer", "[http]") {
+    // Guards against slow senders that hold connections, and against a silent close.
+    event_loop loop;
+    http_server_options options;
+    options.header_timeout = milliseconds{50};
+    options.body_timeout = milliseconds{50};
+    int slow = 0;
+    options.on_read_error = [&](http_read_error kind) {
+        slow += kind == http_read_error::timeout ? 1 : 0;
+        return http_response{408, {}, ""};
+    };
+    auto server = http_server::listen(loop, {"127.0.0.1", 0}, options,
+                                      [](const http_request&, auto) { FAIL("not reached"); });
+    REQUIRE(server);
+    for (const std::string text : {"POST / HT", "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab"}) {
+        asio::ip::tcp::socket client{loop.implementation().context};
+        client.connect({asio::ip::make_address("127.0.0.1"), server.value()->port()});
+        asio::write(client, asio::buffer(text));
+        std::string answer;
+        asio::async_read_until(client, asio::dynamic_buffer(answer), "\r\n",
+                               [&](boost::system::error_code, std::size_t) { loop.stop(); });
+        loop.run();
+        loop.implementation().context.restart();
+        CHECK(answer.starts_with("HTTP/1.1 408"));
+    }
+    CHECK(slow == 2);
+}
+
+TEST_CASE("a client that is still sending gets the refusal of its large body", "[http]") {
+    // Guards against a reset that takes the answer away from a client that has not read it yet.
+    event_loop loop;
+    http_server_options options;
+    options.on_read_error = [](http_read_error) {
+        return http_response{413, {}, ""};
+    };
+    auto server = http_server::listen(loop, {"127.0.0.1", 0}, options,
+                                      [](const http_request&, auto) { FAIL("not reached"); });
+    REQUIRE(server);
+    http_client client{loop, {}};
+    unsigned status = 0;
+    client.send({"127.0.0.1", server.value()->port()}, {"POST", "/", {}, std::string(20'000'000, 'x')},
+                long_timeout, [&](http_result outcome) {
+                    const auto* response = std::get_if<http_response>(&outcome);
+                    status = response == nullptr ? 0 : response->status;
+                    loop.stop();
+                });
+    loop.run();
+    CHECK(status == 413);
+}
