Check records and ledgers over random schedules in virtual time

Cause: the tests name single orders of events; races between repeats, losses, cancellations, expiry and a replaced owner were not covered. Change: 20,000 seeded schedules per run over the functions that the nodes use, compared with the true executions. BAOBABSWITCH_SEED repeats a run.

--- /dev/null
+++ b/tests/calls/test_schedules.cpp
@@ -0,0 +1,239 @@
+#include "requestkeys.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <iostream>
+#include <random>
+
+using namespace baobabswitch;
+
+namespace {
+
+/// One schedule in virtual time: keyed requests, repeats, lost messages, cancellations, expiry and the
+/// replacement of the owner, over the records and ledgers that the nodes use.
+class schedule {
+public:
+    explicit schedule(std::uint64_t seed) : rng_(seed) {
+        invariants_.on_violation = [this](invariant which, std::string_view detail) {
+            fail(std::string{invariant_name(which)} + ": " + std::string{detail});
+        };
+        budget_ = pick(5);
+        idempotent_ = pick(4) == 0;
+        table_.max_kept_bytes = pick(2) == 0 ? 300 : 1'000'000;
+    }
+
+    std::string run() {
+        for (unsigned n = 1 + pick(3); n > 0; --n) {
+            requests_.push_back({issue_key(table_, "n1", incarnation_, ring_, now_).value()});
+        }
+        for (unsigned n = 4 + pick(12); n > 0; --n) {
+            at(pick(3000), [this, id = pick(static_cast<unsigned>(requests_.size()))] { arrival(id); });
+        }
+        if (pick(4) == 0) {
+            at(pick(3000), [this] { replace_owner(); });
+        }
+        if (pick(4) == 0) {
+            at(pick(3000), [this] { now_ += std::chrono::minutes{11}; });
+        }
+        while (!events_.empty() && failure_.empty()) {
+            const auto it = events_.begin();
+            now_ = std::max(now_, it->first);
+            const auto fn = it->second;
+            events_.erase(it);
+            fn();
+            expire_keys(table_, now_);
+        }
+        for (const auto& it : requests_) {
+            expect(it.open == 0, "an attempt never ended");
+        }
+        return failure_;
+    }
+
+    std::uint64_t told_not_run() const {
+        return told_not_run_;
+    }
+    std::uint64_t runs() const {
+        std::uint64_t sum = 0;
+        for (const auto& it : requests_) {
+            sum += it.executions;
+        }
+        return sum;
+    }
+
+private:
+    /// What happened to a request in truth, seen from outside the nodes.
+    struct request {
+        std::string key;
+        unsigned executions = 0;
+        unsigned open = 0; ///< attempts in the network or at a target that may still execute
+        unsigned attempts = 0;
+        unsigned spent_below = 0; ///< retries spent by hops
+    };
+    struct running {
+        unsigned id = 0;
+        std::shared_ptr<key_record> record;
+        retry_ledger ledger;
+        unsigned loan = 0;
+        std::uint64_t incarnation = 0;
+        bool cancelled = false;
+    };
+
+    unsigned pick(unsigned n) {
+        return std::uniform_int_distribution<unsigned>{0, n - 1}(rng_);
+    }
+    void at(unsigned ms, std::function<void()> fn) {
+        events_.emplace(now_ + milliseconds{ms}, std::move(fn));
+    }
+    void fail(std::string text) {
+        if (failure_.empty()) {
+            failure_ = std::move(text);
+        }
+    }
+    void expect(bool condition, const char* text) {
+        if (!condition) {
+            fail(text);
+        }
+    }
+
+    void tell(unsigned id, const call_outcome& outcome) {
+        const auto& it = requests_[id];
+        if (outcome.kind == outcome_kind::not_run) {
+            ++told_not_run_;
+            expect(it.executions == 0 && it.open == 0,
+                   "\"not run\" was told for a request that ran or may run");
+        }
+        if (outcome.kind == outcome_kind::done) {
+            expect(it.executions > 0, "\"done\" was told for a request that did not run");
+            expect(outcome.answer.body == it.key || find_header(outcome.answer.headers, "Baobab-Answer"),
+                   "a repeat got part of an answer or another request's");
+        }
+    }
+
+    void arrival(unsigned id) {
+        const auto& key = requests_[id].key;
+        const auto parsed = parse_key(key, ring_);
+        const auto found = table_.records.find(key);
+        if (!parsed || parsed.value().incarnation != incarnation_ || found == table_.records.end()) {
+            return; // key-owner-gone or bad-key: the outcome is unknown and nothing runs
+        }
+        const auto record = found->second;
+        if (record->state == key_state::issued) {
+            record->ledger.granted = budget_;
+        }
+        const auto arrived = arrive(*record, record->ledger, 1, pick(20) != 0, invariants_);
+        if (arrived.step == key_step::answer) {
+            tell(id, arrived.outcome);
+        } else if (arrived.step == key_step::wait) {
+            add_waiter(*record, [this, id](const call_outcome& outcome) { tell(id, outcome); });
+        } else {
+            auto it = std::make_shared<running>();
+            *it = {id, record, {}, lend_all(record->ledger, invariants_), incarnation_, false};
+            it->ledger.granted = it->loan;
+            if (pick(4) == 0) {
+                at(pick(600), [it] { it->cancelled = true; });
+            }
+            attempt(it);
+        }
+    }
+
+    /// Sends one attempt over a network that loses requests and answers, to a target that may shed it.
+    void attempt(const std::shared_ptr<running>& it) {
+        auto& truth = requests_[it->id];
+        const auto loan = lend(it->ledger, invariants_);
+        mark_sent(it->record->sends, idempotent_, invariants_);
+        ++truth.attempts;
+        ++truth.open;
+        const auto fate = pick(8);
+        const bool executes = fate < 4; // 3: executed, and its answer is lost
+        const auto spent = pick(loan + 1);
+        truth.spent_below += spent;
+        at(pick(300), [this, it, executes] {
+            --requests_[it->id].open;
+            requests_[it->id].executions += executes ? 1 : 0;
+        });
+        at(300 + pick(300), [this, it, fate, loan, spent] { ended(it, fate, loan, spent); });
+    }
+
+    void ended(const std::shared_ptr<running>& it, unsigned fate, unsigned loan, unsigned spent) {
+        if (it->incarnation != incarnation_) {
+            return; // the owner that waited for it is gone
+        }
+        // 0-2 done, 3 executed and answer lost, 4 request lost, 5 stopped by a cancel, 6-7 shed or never
+        // sent.
+        const bool answered = fate < 3 || fate >= 5;
+        give_back(it->ledger, loan, answered ? spent : loan, invariants_);
+        call_outcome outcome;
+        outcome.kind = fate < 3 ? outcome_kind::done : outcome_kind::unknown;
+        if (outcome.kind == outcome_kind::done) {
+            outcome.answer.body = requests_[it->id].key;
+        } else if (fate >= 6) {
+            mark_not_run(it->record->sends);
+            outcome = make_failure(outcome_kind::not_run, error_kind::shed, "", "");
+        }
+        const bool again =
+            outcome.kind == outcome_kind::not_run || (outcome.kind == outcome_kind::unknown && idempotent_);
+        if (again && !it->cancelled && pick(3) != 0 && take(it->ledger, invariants_)) {
+            attempt(it);
+            return;
+        }
+        if (outcome.kind == outcome_kind::not_run && it->record->sends.open > 0) {
+            outcome.kind = outcome_kind::unknown;
+        }
+        give_back(it->record->ledger, it->loan, it->ledger.spent + it->ledger.lent, invariants_);
+        for (const auto& fn : end_run(table_, it->record, outcome, invariants_)) {
+            fn(outcome);
+        }
+        tell(it->id, outcome);
+        const auto& truth = requests_[it->id];
+        expect(truth.attempts - 1 + truth.spent_below <= budget_,
+               "a request caused more retries than its budget");
+        expect(idempotent_ || truth.executions <= 1, "a non-idempotent request ran twice");
+        expect(recorded_outcome(*it->record).kind == outcome.kind, "the record forgot the outcome");
+    }
+
+    void replace_owner() {
+        const auto kept = table_.max_kept_bytes;
+        table_ = {};
+        table_.max_kept_bytes = kept;
+        ++incarnation_;
+    }
+
+    std::mt19937_64 rng_;
+    invariant_table invariants_;
+    key_ring ring_{{{"k", std::string(32, 's')}}, "k"};
+    key_table table_;
+    std::vector<request> requests_;
+    std::multimap<time_point, std::function<void()>> events_;
+    time_point now_{std::chrono::hours{1}};
+    std::uint64_t incarnation_ = 1;
+    unsigned budget_ = 0;
+    bool idempotent_ = false;
+    std::string failure_;
+    std::uint64_t told_not_run_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("records and ledgers keep their promises over random schedules", "[schedules]") {
+    // Guards P1, P4 and P5 against orders of events that the other tests don't name.
+    constexpr int schedules = 20'000;
+    const auto* text = std::getenv("BAOBABSWITCH_SEED");
+    const std::uint64_t first = text != nullptr ? std::strtoull(text, nullptr, 10) : std::random_device{}();
+    std::cout << "BAOBABSWITCH_SEED=" << first << " schedules=" << schedules << '\n';
+    std::uint64_t not_run = 0;
+    std::uint64_t runs = 0;
+    for (int n = 0; n < schedules; ++n) {
+        const auto seed = first + static_cast<std::uint64_t>(n);
+        schedule it{seed};
+        const auto failure = it.run();
+        if (!failure.empty()) {
+            FAIL("BAOBABSWITCH_SEED=" << seed << ": " << failure);
+        }
+        not_run += it.told_not_run();
+        runs += it.runs();
+    }
+    // A schedule that never ran or refused anything would prove nothing.
+    CHECK(not_run > schedules / 10);
+    CHECK(runs > schedules / 10);
+}
