Close three gaps in the tests of calls

Change: a cut idempotent call without a second target, a target that answers twice before the idle connection is polled, and a time bound on the cancellation of children.

--- a/tests/calls/test_outcomes.cpp
+++ b/tests/calls/test_outcomes.cpp
@@ -119,6 +119,11 @@
         CHECK(target.requests == 2);
         it.run_for(milliseconds{5});
     }
+    // An idempotent call that found no second target after an attempt that may have run.
+    raw_target cutting{it, "", true};
+    it.announce_target(1, {"127.0.0.1", cutting.acceptor.local_endpoint().port()});
+    CHECK(outcome(it.call(1, look())) == "unknown");
+    CHECK(cutting.requests == 1);
     // Nobody listens: certain not to have run.
     it.announce_target(1, {"127.0.0.1", 1});
     CHECK(outcome(it.call(1, book(it.key(1)))) == "not-run");
@@ -160,8 +165,10 @@
     it.add_target(1, handler);
     const auto slot = it.send(1, look(), milliseconds{200});
     it.until([&] { return held.size() == 2; });
-    it.until([&] { return cancels == 2; });
-    REQUIRE(slot->has_value());
+    it.until([&] { return slot->has_value(); });
+    // Well before the deadline of either call, at which both would be cancelled anyway.
+    it.run_for(milliseconds{300});
+    CHECK(cancels == 2);
     held.at("/look")->respond({503, {{"Baobab-Cancelled", "1"}}, ""});
     held.at("/child")->respond({503, {{"Baobab-Cancelled", "1"}}, ""});
     it.until([&] { return it.at(1).calls.empty() && it.at(1).entering == 0; });
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -47,6 +47,38 @@
     CHECK(body == "fast");
 }
 
+TEST_CASE("a second answer to one request never reaches the next request", "[http]") {
+    // Guards P3 against a target that answers twice before the client has polled its idle connection.
+    event_loop loop;
+    auto& context = loop.implementation().context;
+    asio::ip::tcp::acceptor acceptor{context, {asio::ip::make_address("127.0.0.1"), 0}};
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n";
+    std::vector<std::unique_ptr<asio::ip::tcp::socket>> open;
+    std::string buf(4096, ' ');
+    std::function<void()> accept = [&] {
+        acceptor.async_accept([&](boost::system::error_code, asio::ip::tcp::socket socket) {
+            open.push_back(std::make_unique<asio::ip::tcp::socket>(std::move(socket)));
+            open.back()->async_read_some(asio::buffer(buf), [&](boost::system::error_code, std::size_t) {
+                asio::write(*open.back(), asio::buffer(answer + (open.size() == 1 ? "one" : "two")));
+            });
+            accept();
+        });
+    };
+    accept();
+    const endpoint address{"127.0.0.1", acceptor.local_endpoint().port()};
+    http_client client{loop, {}};
+    std::string body;
+    client.send(address, {"GET", "/", {}, ""}, long_timeout, [&](const http_result&) {
+        asio::write(*open.front(), asio::buffer(answer + "bad"));
+        client.send(address, {"GET", "/", {}, ""}, long_timeout, [&](http_result second) {
+            body = std::get<http_response>(second).body;
+            loop.stop();
+        });
+    });
+    loop.run();
+    CHECK(body == "two");
+}
+
 TEST_CASE("a refused connection is certain not to have been sent", "[http]") {
     event_loop loop;
     http_client client{loop, {}};
