Add the platform client and the stand-in platform

Cause: configuration came from a file; nothing spoke the platform's object API. Change: make_platform_client() is the HTTP form of object_store; standin-platform holds objects in memory on the event loop, so a waiting watch costs no thread, with rate limits and seeded faults switched by /control. Conclusion: test_integration passes against the real process: conditions, 1 MB bound, watches, outages, silence, lost answers and rates.

--- /dev/null
+++ b/src/standin-platform/platform.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "eventloop.h"
+#include "faults.h"
+#include "httpserver.h"
+#include "memorystore.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace baobabswitch {
+
+/// Sustained calls a second, and as many at once after a pause of a second.
+struct call_rate {
+    double per_second = 0;
+    double tokens = 0;
+    time_point refilled;
+};
+
+/// A client that waits for a change.
+struct waiting_watch {
+    std::string prefix;
+    std::uint64_t after = 0;
+    std::shared_ptr<http_exchange> exchange;
+    timer_handle deadline;
+};
+
+/// The platform's object API in memory (design §3.4), with its limits and with faults that are switched at
+/// run time by POST /control. GET /counters tells what was called. Event loop thread only.
+class platform {
+public:
+    /// Starts to listen. Fails with bad_settings.
+    static result<std::unique_ptr<platform>> create(event_loop& loop, const endpoint& listen,
+                                                    platform_faults faults);
+    platform(event_loop& loop, platform_faults faults);
+
+    /// Creates objects from a JSON object of names and values; values that aren't strings are stored as their
+    /// JSON text. Fails with bad_document.
+    result<void> load(const std::string& text);
+    std::uint16_t port() const;
+
+private:
+    using exchange_ptr = std::shared_ptr<http_exchange>;
+
+    void dispatch(const http_request& request, const exchange_ptr& exchange);
+    void call(const http_request& request, const exchange_ptr& exchange);
+    void apply(const http_request& request, const exchange_ptr& exchange);
+    void answer(const exchange_ptr& exchange, http_response response);
+    void start_watch(const http_request& request, const exchange_ptr& exchange);
+    void wake_watches(std::string_view name);
+    http_response control(const std::string& body);
+    http_response counters() const;
+    http_response read(const std::string& name);
+    http_response write(const http_request& request, const std::string& name);
+    bool admitted(call_rate& rate);
+    duration half_latency();
+    void count(std::string_view name);
+
+    event_loop& loop_;
+    platform_faults faults_;
+    timer_handle faults_end_;
+    std::mt19937_64 rng_;
+    memory_store store_;
+    call_rate reads_;
+    call_rate writes_;
+    std::list<waiting_watch> watches_;
+    std::map<std::string, std::uint64_t, std::less<>> counts_;
+    std::unique_ptr<http_server> server_;
+};
+
+} // namespace baobabswitch
