Add the configuration store, the schema as data and differences

Cause: changes of the configuration need conditional updates, an audit trail and settled lost answers; forms need the schema that validates. Change: apply_change() is conditional on the object's version and is repeated with the same write identity to settle an unknown outcome, so that a write that arrives late can't take effect twice. Full recent lists move to audit objects. Validation reads a table of fields that is also exported as JSON; whole numbers beyond int64 are now refused instead of wrapped.

--- a/src/libbaobabswitch/configdocument.cpp
+++ b/src/libbaobabswitch/configdocument.cpp
@@ -1,12 +1,13 @@
 #include "configdocument.h"
 
+#include "configschema.h"
+
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
-#include <optional>
-#include <set>
 
 namespace baobabswitch {
 
@@ -14,205 +15,63 @@
 
 using json = nlohmann::json;
 
-constexpr std::int64_t max_timeout_ms = 10L * 60 * 1000;
-constexpr std::int64_t max_patience_ms = 24L * 3600 * 1000;
-constexpr std::size_t max_name_length = 64;
-
-bool is_name(std::string_view text) {
-    return !text.empty() && text.size() <= max_name_length &&
-           text.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-") == std::string_view::npos;
+template <class Value>
+Value value_or(const json& object, const char* name, Value otherwise) {
+    const auto it = object.find(name);
+    return it == object.end() ? otherwise : it->get<Value>();
 }
 
-/// Reads the members of one object and remembers the first error, so that call sites stay short.
-class object_reader {
-public:
-    object_reader(const json& object, std::string path, std::optional<error>& first_error)
-        : object_(object),
-          path_(std::move(path)),
-          first_error_(first_error) {
-        if (!object_.is_object()) {
-            fail("", "is not an object", "write { … }");
-        }
-    }
-
-    template <class Number>
-    void number(const char* name, std::int64_t least, std::int64_t greatest, bool required, Number assign) {
-        const auto* it = find(name, required);
-        if (it == nullptr) {
-            return;
-        }
-        if (!it->is_number_integer() || it->get<std::int64_t>() < least ||
-            it->get<std::int64_t>() > greatest) {
-            fail(name, "is " + it->dump(),
-                 "write a whole number from " + std::to_string(least) + " to " + std::to_string(greatest));
-            return;
-        }
-        assign(it->get<std::int64_t>());
-    }
-
-    void boolean(const char* name, bool required, bool& value) {
-        const auto* it = find(name, required);
-        if (it == nullptr) {
-            return;
-        }
-        if (!it->is_boolean()) {
-            fail(name, "is " + it->dump(), "write true or false");
-            return;
-        }
-        value = it->get<bool>();
-    }
-
-    void text(const char* name, bool required, std::string& value) {
-        const auto* it = find(name, required);
-        if (it == nullptr) {
-            return;
-        }
-        if (!it->is_string()) {
-            fail(name, "is " + it->dump(), "write a string");
-            return;
-        }
-        value = it->get<std::string>();
-    }
-
-    const json* member(const char* name, bool required) {
-        return find(name, required);
-    }
-
-    void finish() {
-        if (!object_.is_object()) {
-            return;
-        }
-        for (const auto& [name, value] : object_.items()) {
-            if (!known_.contains(name)) {
-                fail(name, "is not a field of the schema", "remove it or correct its spelling");
-            }
-        }
-    }
-
-    void fail(std::string_view name, const std::string& problem, std::string remedy) {
-        if (!first_error_) {
-            const auto field = name.empty() ? path_ : (path_.empty() ? "" : path_ + ".") + std::string{name};
-            first_error_ = error{error_kind::bad_document, "\"" + field + "\" " + problem, std::move(remedy)};
-        }
-    }
-
-private:
-    const json* find(const char* name, bool required) {
-        known_.insert(name);
-        if (!object_.is_object()) {
-            return nullptr;
-        }
-        const auto it = object_.find(name);
-        if (it == object_.end()) {
-            if (required) {
-                fail(name, "is missing", "add it");
-            }
-            return nullptr;
-        }
-        return &*it;
-    }
-
-    const json& object_;
-    std::string path_;
-    std::optional<error>& first_error_;
-    std::set<std::string> known_;
-};
-
-void read_kind(const json& object, const std::string& path, kind_config& kind,
-               std::optional<error>& first_error) {
-    object_reader reader{object, path, first_error};
-    reader.text("service", true, kind.service);
-    reader.number("importance", 0, max_importance, true,
-                  [&](std::int64_t n) { kind.importance = static_cast<importance_level>(n); });
-    reader.number("timeout_ms", 1, max_timeout_ms, true,
-                  [&](std::int64_t n) { kind.timeout = milliseconds{n}; });
-    reader.number("patience_ms", 0, max_patience_ms, false,
-                  [&](std::int64_t n) { kind.patience = milliseconds{n}; });
-    reader.boolean("idempotent", true, kind.idempotent);
-    kind.cancellable = kind.idempotent;
-    reader.boolean("cancellable", false, kind.cancellable);
-    reader.finish();
+kind_config read_kind(const json& object) {
+    kind_config kind;
+    kind.service = object["service"].get<std::string>();
+    kind.importance = object["importance"].get<importance_level>();
+    kind.timeout = milliseconds{object["timeout_ms"].get<std::int64_t>()};
+    kind.patience = milliseconds{value_or<std::int64_t>(object, "patience_ms", 0)};
+    kind.idempotent = object["idempotent"].get<bool>();
+    kind.cancellable = value_or(object, "cancellable", kind.idempotent);
+    return kind;
 }
 
-void read_service(const json& object, const std::string& path, service_config& service,
-                  std::optional<error>& first_error) {
-    object_reader reader{object, path, first_error};
-    const auto assign = [](std::size_t& value) {
-        return [&value](std::int64_t n) {
-            value = static_cast<std::size_t>(n);
-        };
-    };
-    reader.number("slots", 1, 10000, true, assign(service.slots));
-    reader.number("connections", 1, 100000, true, assign(service.connections));
-    reader.number("queue", 0, 20000, true, assign(service.queue));
-    reader.finish();
+service_config read_service(const json& object) {
+    return {object["slots"].get<std::size_t>(), object["connections"].get<std::size_t>(),
+            object["queue"].get<std::size_t>()};
 }
 
-void read_policy(const json& object, policy_config& policy, std::optional<error>& first_error) {
-    object_reader reader{object, "policy", first_error};
-    std::string mode = "baobabswitch";
-    reader.text("mode", false, mode);
+policy_config read_policy(const json& object) {
+    policy_config policy;
+    const auto mode = value_or<std::string>(object, "mode", "baobabswitch");
     if (mode == "static") {
         policy.mode = policy_mode::static_limits;
     } else if (mode == "direct") {
         policy.mode = policy_mode::direct;
-    } else if (mode != "baobabswitch") {
-        reader.fail("mode", "is \"" + mode + "\"", "write baobabswitch, static or direct");
     }
-    reader.number("retry_budget", 0, 100, false,
-                  [&](std::int64_t n) { policy.retry_budget = static_cast<unsigned>(n); });
-    reader.number("hedge_percent", 0, 50, false,
-                  [&](std::int64_t n) { policy.hedge_percent = static_cast<unsigned>(n); });
-    reader.finish();
+    policy.retry_budget = value_or(object, "retry_budget", policy.retry_budget);
+    policy.hedge_percent = value_or(object, "hedge_percent", policy.hedge_percent);
+    return policy;
 }
 
-/// Reads an object whose members have names of the operator's choice, such as "kinds".
-template <class Entry, class Read>
-void read_named(const json* object, const std::string& path,
-                std::map<std::string, Entry, std::less<>>& entries, std::optional<error>& first_error,
-                Read read) {
-    if (object == nullptr) {
-        return;
-    }
-    if (!object->is_object()) {
-        first_error = first_error.value_or(error{
-            error_kind::bad_document, "\"" + path + "\" is not an object", "write { \"name\": { … } }"});
-        return;
-    }
-    for (const auto& [name, value] : object->items()) {
-        if (!is_name(name)) {
-            first_error = first_error.value_or(error{error_kind::bad_document,
-                                                     "\"" + path + "." + name + "\" is not a name",
-                                                     "use 1 to 64 of the characters a-z, 0-9 and -"});
-            return;
-        }
-        read(value, path + "." + name, entries[name], first_error);
-    }
+/// Returns the path of a JSON pointer in the form that messages use, for example "kinds.spot-lookup".
+std::string dotted(const std::string& pointer) {
+    auto path = pointer.substr(std::min<std::size_t>(1, pointer.size()));
+    std::replace(path.begin(), path.end(), '/', '.');
+    return path.empty() ? "document" : path;
 }
 
 } // namespace
 
 result<configuration> configuration_from_json(const json& document) {
+    if (const auto valid = validate_document(document); !valid) {
+        return valid.error();
+    }
     configuration config;
-    std::optional<error> first_error;
-    object_reader reader{document, "", first_error};
-    reader.number("schema", 1, 1, true, [](std::int64_t) {});
-    read_named(reader.member("kinds", true), "kinds", config.kinds, first_error, read_kind);
-    read_named(reader.member("services", true), "services", config.services, first_error, read_service);
-    if (const auto* policy = reader.member("policy", false)) {
-        read_policy(*policy, config.policy, first_error);
+    for (const auto& [name, value] : document["kinds"].items()) {
+        config.kinds[name] = read_kind(value);
     }
-    reader.finish();
-    for (const auto& [name, kind] : config.kinds) {
-        if (!first_error && !config.services.contains(kind.service)) {
-            first_error =
-                error{error_kind::bad_document,
-                      "\"kinds." + name + ".service\" names the unknown service \"" + kind.service + "\"",
-                      "add the service under \"services\" or correct the name"};
-        }
+    for (const auto& [name, value] : document["services"].items()) {
+        config.services[name] = read_service(value);
     }
-    if (first_error) {
-        return *first_error;
+    if (const auto policy = document.find("policy"); policy != document.end()) {
+        config.policy = read_policy(*policy);
     }
     config.digest = document_digest(document);
     return config;
@@ -235,4 +94,31 @@
     return buf.data();
 }
 
+std::vector<document_change> document_changes(const json& before, const json& after) {
+    std::vector<document_change> changes;
+    for (const auto& step : json::diff(before, after)) {
+        const auto& path = step["path"].get_ref<const std::string&>();
+        const json::json_pointer pointer{path};
+        document_change it{dotted(path), {}, {}};
+        if (step["op"] != "add") {
+            it.before = before.at(pointer).dump();
+        }
+        if (step["op"] != "remove") {
+            it.after = step["value"].dump();
+        }
+        changes.push_back(std::move(it));
+    }
+    return changes;
+}
+
+std::string describe(const document_change& change) {
+    if (change.before.empty()) {
+        return "+ " + change.path + ": " + change.after;
+    }
+    if (change.after.empty()) {
+        return "- " + change.path + ": " + change.before;
+    }
+    return "~ " + change.path + ": " + change.before + " -> " + change.after;
+}
+
 } // namespace baobabswitch
--- a/src/libbaobabswitch/configdocument.h
+++ b/src/libbaobabswitch/configdocument.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace baobabswitch {
 
@@ -54,4 +55,16 @@
 /// Returns the XXH64 digest of the canonical dump of a document (sorted keys, no spaces), hexadecimal.
 std::string document_digest(const nlohmann::json& document);
 
+/// One difference between two documents, for display.
+struct document_change {
+    std::string path;   ///< for example "kinds.spot-lookup.importance"
+    std::string before; ///< JSON; empty: added
+    std::string after;  ///< JSON; empty: removed
+};
+
+/// Returns what changes from one valid document to another.
+std::vector<document_change> document_changes(const nlohmann::json& before, const nlohmann::json& after);
+/// Formats a change as "~ path: before -> after", "+ path: after" or "- path: before".
+std::string describe(const document_change& change);
+
 } // namespace baobabswitch
--- /dev/null
+++ b/src/libbaobabswitch/configschema.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "errors.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace baobabswitch {
+
+enum class field_type {
+    number,  ///< whole number from `least` to `greatest`
+    boolean, ///< true or false
+    choice,  ///< one of `choices`
+    service, ///< name of a service of the same document
+};
+
+/// One field of the configuration document: what validation accepts and what forms show.
+struct schema_field {
+    std::string_view name;
+    field_type type = field_type::number;
+    bool required = true;
+    std::int64_t least = 0;
+    std::int64_t greatest = 0;
+    std::span<const std::string_view> choices;
+    std::string_view initial; ///< value of a field that is left out, as JSON; empty: none, or see `help`
+    std::string_view unit;
+    std::string_view help;
+};
+
+/// One member of the document.
+struct schema_section {
+    std::string_view name;
+    std::string_view title; ///< the operators' word for it
+    bool named = false;     ///< holds an entry per name of the operator's choice; otherwise the fields
+    bool required = true;
+    std::span<const schema_field> fields;
+};
+
+/// Version of the document's form; the document's "schema" has to equal it.
+inline constexpr std::int64_t schema_version = 1;
+
+/// Returns the sections of the configuration document.
+std::span<const schema_section> document_schema();
+
+/// Returns the schema as JSON for GET /v1/schema and the console's forms.
+nlohmann::json schema_to_json();
+
+/// Checks a document against the schema.
+/// Fails with bad_document; the message names the field, for example "kinds.spot-lookup.importance", the
+/// remedy what to write.
+result<void> validate_document(const nlohmann::json& document);
+
+} // namespace baobabswitch
--- /dev/null
+++ b/tests/config/test_configrace.cpp
@@ -0,0 +1,231 @@
+#include "configstore.h"
+#include "racingstore.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <set>
+
+using namespace baobabswitch;
+
+namespace {
+
+constexpr std::uint64_t default_seed = 20261204;
+constexpr std::uint64_t schedules = 3000;
+constexpr int max_depth = 2; ///< operators that may act within another's call
+constexpr int settle_attempts = 20;
+
+nlohmann::json make_document(std::uint64_t n) {
+    return {
+        {"schema", 1},
+        {"services", {{"s", {{"slots", 1}, {"connections", 1}, {"queue", n % 1000}}}}},
+        {"kinds", {{"k", {{"service", "s"}, {"importance", 1}, {"timeout_ms", 5}, {"idempotent", true}}}}}};
+}
+
+/// Objects of a store whose `recent` holds so many changes.
+std::string prefilled(std::size_t changes) {
+    static std::map<std::size_t, std::string> cache;
+    auto& value = cache[changes];
+    if (value.empty()) {
+        memory_store store;
+        for (std::size_t n = 0; n < changes; ++n) {
+            config_change change{make_document(n), "setup", "fill", "t", "fill-" + std::to_string(n), n};
+            REQUIRE(apply_change(store, change));
+        }
+        value = store.get(config_object).value().value;
+    }
+    return value;
+}
+
+/// What an operator was told about one change.
+struct attempt {
+    config_change change;
+    std::optional<result<audit_entry>> told; ///< nothing while unknown
+    bool running = false;
+};
+
+/// One schedule: operators that read, change and apply, and sometimes repeat a change of unknown outcome.
+class schedule {
+public:
+    explicit schedule(std::uint64_t seed) : store_(seed) {
+        const auto draw = [this](unsigned most) {
+            return std::uniform_int_distribution<unsigned>{0, most}(store_.rng);
+        };
+        if (draw(3) == 0) {
+            const auto value = prefilled(max_recent - draw(6));
+            REQUIRE(store_.inner.put(config_object, value, 0));
+            const auto stored = parse_stored_config(value, 1);
+            for (const auto& it : stored.value().recent) {
+                store_.history.push_back({it.version, it.write_id});
+            }
+        }
+        store_.faults = {draw(30), draw(30), draw(20), draw(20)};
+        store_.let_others_run = [this] {
+            if (depth_ < max_depth) {
+                act();
+            }
+        };
+        const auto steps = 2 + draw(12);
+        for (unsigned n = 0; n < steps; ++n) {
+            act();
+        }
+        settle_all();
+    }
+
+    /// Returns what is wrong, or nothing.
+    std::string judge() {
+        std::map<std::string, std::uint64_t> effective;
+        std::uint64_t last = 0;
+        for (const auto& it : store_.history) {
+            if (it.version <= last) {
+                return "version " + std::to_string(it.version) + " follows " + std::to_string(last);
+            }
+            last = it.version;
+            if (!effective.emplace(it.write_id, it.version).second) {
+                return it.write_id + " took effect twice";
+            }
+        }
+        for (const auto& it : attempts_) {
+            const auto found = effective.find(it.change.write_id);
+            if (!it.told) {
+                return it.change.write_id + " is still unknown although the platform is readable";
+            }
+            if (*it.told && (found == effective.end() || found->second != it.told->value().version)) {
+                return it.change.write_id + " was reported accepted and did not take effect";
+            }
+            if (!*it.told && found != effective.end()) {
+                return it.change.write_id + " was reported failed (" + describe(it.told->error()) +
+                       ") and took effect";
+            }
+        }
+        return judge_audit();
+    }
+
+    std::size_t accepted() const {
+        return store_.history.size();
+    }
+    std::size_t unknown() const {
+        return unknown_;
+    }
+    std::size_t moved_blocks() {
+        return store_.inner.list(audit_prefix).value().objects.size();
+    }
+
+private:
+    std::string judge_audit() {
+        const auto trail = read_audit(store_.inner, SIZE_MAX);
+        if (!trail && trail.error().kind != error_kind::not_found) {
+            return describe(trail.error());
+        }
+        if (trail.value().size() != store_.history.size()) {
+            return "the audit trail has " + std::to_string(trail.value().size()) + " entries for " +
+                   std::to_string(store_.history.size()) + " changes";
+        }
+        auto expected = store_.history.rbegin();
+        for (const auto& it : trail.value()) {
+            if (it.version != expected->version || it.write_id != expected->write_id) {
+                return "version " + std::to_string(expected->version) + " is not in the audit trail";
+            }
+            ++expected;
+        }
+        std::set<std::uint64_t> moved;
+        const auto objects = store_.inner.list(audit_prefix);
+        for (const auto& object : objects.value().objects) {
+            const auto block = nlohmann::json::parse(store_.inner.get(object.name).value().value);
+            for (const auto& it : block) {
+                if (!moved.insert(it["version"].get<std::uint64_t>()).second) {
+                    return "two audit objects hold the same change";
+                }
+            }
+        }
+        return "";
+    }
+
+    void act() {
+        ++depth_;
+        if (!attempts_.empty() && std::uniform_int_distribution<int>{0, 3}(store_.rng) == 0) {
+            const auto n = std::uniform_int_distribution<std::size_t>{0, attempts_.size() - 1}(store_.rng);
+            if (!attempts_.at(n).told && !attempts_.at(n).running) {
+                apply(n);
+            }
+        } else {
+            start_change();
+        }
+        --depth_;
+    }
+
+    void start_change() {
+        const auto base = read_config(store_);
+        if (!base && base.error().kind != error_kind::not_found) {
+            return;
+        }
+        const auto n = attempts_.size();
+        attempts_.push_back({{make_document(n), "operator", "race", "t", "write-" + std::to_string(n),
+                              base ? base.value().change.version : 0},
+                             std::nullopt});
+        apply(n);
+    }
+
+    void apply(std::size_t n) {
+        // The attempts may be moved by others that act within the call.
+        auto change = attempts_.at(n).change;
+        attempts_.at(n).running = true;
+        const auto told = apply_change(store_, change);
+        auto& it = attempts_.at(n);
+        it.running = false;
+        it.change.may_be_written = change.may_be_written;
+        if (!told && told.error().kind == error_kind::outcome_unknown) {
+            ++unknown_;
+            return;
+        }
+        it.told = told;
+    }
+
+    /// The platform has recovered, while some writes are still under way.
+    void settle_all() {
+        store_.faults = {};
+        store_.let_others_run = nullptr;
+        for (int round = 0; round < settle_attempts; ++round) {
+            for (std::size_t n = 0; n < attempts_.size(); ++n) {
+                if (!attempts_.at(n).told) {
+                    apply(n);
+                }
+            }
+        }
+        store_.deliver_all();
+    }
+
+    racing_store store_;
+    std::vector<attempt> attempts_;
+    std::size_t unknown_ = 0;
+    int depth_ = 0;
+};
+
+} // namespace
+
+// Guards against lost, doubled or reverted changes of the configuration and against wrong reports to
+// operators when several race and the platform fails in any combination.
+TEST_CASE("racing operators are told the truth and every accepted change is audited once", "[config]") {
+    const char* given = std::getenv("BAOBABSWITCH_SEED");
+    const std::uint64_t first = given == nullptr ? default_seed : std::strtoull(given, nullptr, 10);
+    std::cout << "config race: BAOBABSWITCH_SEED=" << first << ", " << schedules << " schedules\n";
+    std::size_t accepted = 0;
+    std::size_t unknown = 0;
+    std::size_t moved = 0;
+    for (std::uint64_t n = 0; n < schedules; ++n) {
+        schedule it{first + n};
+        const auto wrong = it.judge();
+        INFO("BAOBABSWITCH_SEED=" << first + n);
+        REQUIRE(wrong == "");
+        accepted += it.accepted();
+        unknown += it.unknown();
+        moved += it.moved_blocks();
+    }
+    std::cout << "config race: " << accepted << " accepted changes, " << unknown << " unknown outcomes, "
+              << moved << " audit objects\n";
+    CHECK(unknown > schedules / 10);
+    CHECK(moved > schedules / 20);
+}
