Promise patient calls that can't run, and run them when capacity is spare

Cause: a call of a kind with patience was refused under load. Change: the entry node asks the platform to hold such a call and answers 202 once it does; claimed calls run one level below their importance, at a pace that grows by one with each success and halves with each refusal, and pause for a second after live work of the service was refused. GET /v1/outcomes falls back to the platform when the key's owner is gone.

All tests of the tree pass; the path itself is not yet tested end to end.

--- a/src/baobabswitchd/main.cpp
+++ b/src/baobabswitchd/main.cpp
@@ -1,8 +1,11 @@
 #include "adminserver.h"
 #include "log.h"
 #include "node.h"
+#include "platformclient.h"
+#include "promisedcalls.h"
 #include "settings.h"
 
+#include <caf/all.hpp>
 #include <cxxopts.hpp>
 
 #include <cstdlib>
@@ -17,6 +20,22 @@
     return EXIT_FAILURE;
 }
 
+/// Starts the promises of a node, if its settings name a platform.
+std::unique_ptr<promise_service> start_promises(node& it, caf::actor_system& actors) {
+    auto& state = it.state();
+    if (!state.settings.platform) {
+        return nullptr;
+    }
+    promise_service_options options;
+    options.domain = state.settings.domain;
+    options.self = state.settings.node_id + "." + std::to_string(state.incarnation);
+    auto promises = std::make_unique<promise_service>(
+        actors, state.loop, make_platform_client(*state.settings.platform), options, state.invariants,
+        [&state](promise_item item) { run_promised(state, std::move(item)); });
+    state.promises = promises.get();
+    return promises;
+}
+
 int run(const std::string& settings_file, bool check_only) {
     auto settings = load_settings(settings_file);
     if (!settings) {
@@ -38,6 +57,11 @@
         return report(created.error());
     }
     auto& it = *created.value();
+    caf::actor_system_config actor_options;
+    actor_options.set("scheduler.policy", "sharing");
+    actor_options.set("scheduler.max-threads", 1);
+    caf::actor_system actors{actor_options};
+    const auto promises = start_promises(it, actors);
     auto admin = admin_server::start(it.state());
     if (!admin) {
         return report(admin.error());
--- a/src/libbaobabswitch/entry.cpp
+++ b/src/libbaobabswitch/entry.cpp
@@ -3,6 +3,7 @@
 #include "keyowner.h"
 #include "outgoingcall.h"
 #include "peermessages.h"
+#include "promisedcalls.h"
 
 #include <nlohmann/json.hpp>
 
@@ -115,18 +116,11 @@
     });
 }
 
-/// Ends a call that was sent on from here: settles its loan and its record, then answers the caller and the
-/// repeats that waited.
-void end_entry(node_state& node, const entry_call& call, call_outcome outcome) {
+/// Settles the record of a call, then answers the caller and the repeats that waited.
+void finish_entry(node_state& node, const entry_call& call, call_outcome outcome) {
     --node.entering;
-    if (const auto it = node.calls.find(call.parent); it != node.calls.end()) {
-        give_back(it->second.ledger, call.loan, outcome.spent, node.invariants);
-    }
     std::vector<std::function<void(const call_outcome&)>> waiters;
     if (call.record) {
-        if (!call.key.empty()) {
-            give_back(call.record->ledger, call.loan, outcome.spent, node.invariants);
-        }
         waiters = end_run(node.keys, call.record, outcome, node.invariants);
     }
     for (const auto& it : waiters) {
@@ -135,6 +129,25 @@
     answer_entry(node, call, std::move(outcome));
 }
 
+/// Ends a call that was sent on from here: settles its loan, and promises it if it can't run now.
+void end_entry(node_state& node, const std::shared_ptr<entry_call>& ended, call_outcome outcome) {
+    auto& call = *ended;
+    if (const auto it = node.calls.find(call.parent); it != node.calls.end()) {
+        give_back(it->second.ledger, call.loan, outcome.spent, node.invariants);
+    }
+    if (call.record && !call.key.empty()) {
+        give_back(call.record->ledger, call.loan, outcome.spent, node.invariants);
+    }
+    note_live_outcome(node, call.info.service, outcome.kind, clock::now());
+    if (may_promise(node, call, outcome)) {
+        promise_call(node, call, std::move(outcome), [&node, ended](call_outcome decided) {
+            finish_entry(node, *ended, std::move(decided));
+        });
+        return;
+    }
+    finish_entry(node, call, std::move(outcome));
+}
+
 /// Sends a call on to the targets.
 void run_entry(node_state& node, entry_call started) {
     ++node.entering;
@@ -144,10 +157,13 @@
     retry_ledger ledger;
     ledger.granted = call->loan;
     auto info = call->info;
-    call->info.body.clear();
+    if (const auto kind = node.config->kinds.find(call->info.kind);
+        kind == node.config->kinds.end() || kind->second.patience <= milliseconds{0}) {
+        call->info.body.clear(); // Only a call that may be promised needs its body later.
+    }
     const auto outgoing = std::make_shared<outgoing_call>(
         node, std::move(info), ledger, call->record,
-        [&node, call](call_outcome outcome) { end_entry(node, *call, std::move(outcome)); });
+        [&node, call](call_outcome outcome) { end_entry(node, call, std::move(outcome)); });
     const auto cancel = [weak = std::weak_ptr{outgoing}] {
         if (const auto it = weak.lock()) {
             it->cancel();
--- a/src/libbaobabswitch/keyowner.cpp
+++ b/src/libbaobabswitch/keyowner.cpp
@@ -1,6 +1,7 @@
 #include "keyowner.h"
 
 #include "peermessages.h"
+#include "promisedcalls.h"
 
 namespace baobabswitch {
 
@@ -148,19 +149,27 @@
                             parsed.error().remedy));
         return;
     }
+    // A key whose owner can't tell may belong to a promise, which the platform holds.
+    const auto answer_or_promise = [&node, key, answer](call_outcome outcome) {
+        if (outcome.kind == outcome_kind::unknown) {
+            find_promised_outcome(node, key, std::move(outcome), answer);
+        } else {
+            answer(std::move(outcome));
+        }
+    };
     if (owns(node, parsed.value())) {
-        answer(own_outcome(node, key));
+        answer_or_promise(own_outcome(node, key));
         return;
     }
     auto found = find_owner(node, parsed.value());
     if (auto* outcome = std::get_if<call_outcome>(&found)) {
-        answer(std::move(*outcome));
+        answer_or_promise(std::move(*outcome));
         return;
     }
     node.peers.send(std::get<endpoint>(found),
                     make_peer_request(node, "GET", std::string{key_prefix} + key, {}, ""), outcome_timeout,
-                    [answer, name = parsed.value().node](http_result result) {
-                        answer(from_owner(name, std::move(result)));
+                    [answer_or_promise, name = parsed.value().node](http_result result) {
+                        answer_or_promise(from_owner(name, std::move(result)));
                     });
 }
 
--- a/src/libbaobabswitch/node.cpp
+++ b/src/libbaobabswitch/node.cpp
@@ -4,6 +4,7 @@
 #include "keyowner.h"
 #include "log.h"
 #include "peermessages.h"
+#include "promisedcalls.h"
 #include "targetside.h"
 
 #include <nlohmann/json.hpp>
@@ -194,6 +195,7 @@
     const auto now = clock::now();
     tick_target_side(state_, now);
     expire_keys(state_.keys, now);
+    tick_promises(state_, now);
     state_.metrics.set_gauge("running", static_cast<double>(state_.admission.running.size()));
     state_.metrics.set_gauge("waiting", static_cast<double>(state_.admission.waiting.size()));
 }
--- a/src/libbaobabswitch/nodestate.h
+++ b/src/libbaobabswitch/nodestate.h
@@ -55,6 +55,15 @@
     std::vector<std::weak_ptr<outgoing_call>> children; ///< child calls on their way
 };
 
+class promise_service;
+
+/// How many promised calls of a service this node runs at the same time.
+struct replay_pace {
+    double allowed = 1;
+    unsigned running = 0;
+    time_point paused_until;
+};
+
 /// All that the systems on the event loop of a node share. Event loop thread only.
 struct node_state {
     node_state(event_loop& events, node_settings config, invariant_table& invariant_counts,
@@ -77,6 +86,9 @@
     std::unordered_map<std::string, target_call> calls; ///< at the target beside this node, by call id
     key_table keys;
     call_trace trace;
+    promise_service* promises = nullptr; ///< not set without a platform
+    std::map<std::string, replay_pace> replay;
+    time_point next_adoption;
     bool draining = false;
     std::size_t entering = 0; ///< calls that entered here and have no answer yet
 };
--- /dev/null
+++ b/src/libbaobabswitch/promisedcalls.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "entry.h"
+#include "promiseservice.h"
+
+#include <functional>
+
+namespace baobabswitch {
+
+/// Reports whether a call that ended as not run may be promised instead: an external call of a kind with
+/// patience, refused because of load or for lack of a target.
+bool may_promise(const node_state& node, const entry_call& call, const call_outcome& outcome);
+
+/// Asks the platform to hold a call that was not run. The continuation gets the outcome "promised" once the
+/// platform holds it, the original outcome if it certainly doesn't, and "unknown" otherwise. A call without a
+/// key gets one.
+void promise_call(node_state& node, entry_call& call, call_outcome not_run,
+                  std::function<void(call_outcome)> on_decided);
+
+/// Runs a promised call that this node has claimed.
+void run_promised(node_state& node, promise_item item);
+
+/// Claims promised calls while capacity is spare, and looks for batches whose holder is gone.
+void tick_promises(node_state& node, time_point now);
+
+/// Notes that live work of a service was refused or ran, which sets the pace of promised calls.
+void note_live_outcome(node_state& node, std::string_view service, outcome_kind outcome, time_point now);
+
+/// Tells the outcome of a key whose owner can't, from the platform.
+void find_promised_outcome(node_state& node, const std::string& key, call_outcome otherwise,
+                           std::function<void(call_outcome)> on_found);
+
+} // namespace baobabswitch
