Bound the queue wait and feed refusal levels back to entry

Cause: at capacity, running searches were cancelled for every lookup that had to wait, and at twice capacity refusals came only from full queues, after hops and retries.

Change: running work is cancelled only for a call that would otherwise be lost; calls that can't complete in time are refused or expired early; nodes report a level (importance and refused fraction) per kind on the whole path, and senders refuse below it, except for probes of 2%. Long kinds hold at most half of the slots while short ones wait, and leave a reserve. A hop that is refused below the level isn't retried at other targets.

--- a/src/libbaobabswitch/admission.cpp
+++ b/src/libbaobabswitch/admission.cpp
@@ -53,86 +53,165 @@
                       [&](const auto& it) { return it.second.importance >= level; }));
 }
 
+std::size_t count_long(const std::unordered_map<std::string, admission_entry>& calls) {
+    return static_cast<std::size_t>(
+        std::count_if(calls.begin(), calls.end(), [](const auto& it) { return it.second.is_long; }));
+}
+
+/// Returns how many slots long calls may hold: half while short ones wait, otherwise all but the reserve.
+std::size_t long_slots(const admission_table& table) {
+    const auto slots = table.limits.slots;
+    const bool short_waits = std::any_of(table.waiting.begin(), table.waiting.end(),
+                                         [](const auto& it) { return !it.second.is_long; });
+    const auto reserve = std::min(table.limits.long_reserve, slots / 2);
+    return std::max<std::size_t>(short_waits ? slots / 2 : slots - reserve, 1);
+}
+
+double remaining_ms(const admission_entry& entry, time_point now) {
+    return std::chrono::duration<double, std::milli>(entry.deadline - now).count();
+}
+
+/// Tells whether a call that starts after a wait would run past its deadline. The share below 1 leaves room
+/// for errors of the estimate.
+bool is_late(const admission_entry& entry, double wait_ms, time_point now) {
+    constexpr double needed_share = 0.8;
+    const double left = remaining_ms(entry, now);
+    // A kind that always takes longer than its time is still tried while it need not wait.
+    return wait_ms + std::min(entry.expected_ms, left / 2) * needed_share > left;
+}
+
+/// Tells whether work that is less important than a call waits, or runs and may be cancelled.
+bool can_shed_below(const admission_table& table, importance_level importance) {
+    return (!table.waiting.empty() && std::prev(table.waiting.end())->second.importance < importance) ||
+           find_cancellable(table, importance);
+}
+
+/// Moves the least of the waiting calls out of a full queue if it goes after the newcomer by importance or
+/// depth.
+void evict_for(admission_table& table, const admission_entry& entry, admission_decision& decision) {
+    if (table.waiting.empty() || table.waiting.size() < table.limits.queue) {
+        return;
+    }
+    const auto last = std::prev(table.waiting.end());
+    const auto& it = last->second;
+    if (it.importance < entry.importance || (it.importance == entry.importance && it.depth < entry.depth)) {
+        decision.evicted.push_back(it.call);
+        table.waiting.erase(last);
+    }
+}
+
 } // namespace
 
-admission_decision submit(admission_table& table, admission_entry entry, invariant_table& invariants) {
+bool may_start(const admission_table& table, const admission_entry& entry) {
+    if (occupied(table) >= table.limits.slots) {
+        return false;
+    }
+    return table.limits.fifo || !entry.is_long ||
+           count_long(table.running) + count_long(table.cancelling) < long_slots(table);
+}
+
+double expected_wait_ms(const admission_table& table, const admission_entry& entry) {
+    if (may_start(table, entry)) {
+        return 0;
+    }
+    const auto order = order_of(entry, table.limits.fifo);
+    double ahead = 0;
+    for (const auto& [key, it] : table.waiting) {
+        if (order < key) {
+            break;
+        }
+        ahead += it.expected_ms;
+    }
+    double running = 0;
+    for (const auto& [call, it] : table.running) {
+        running += it.expected_ms;
+    }
+    const auto slots = static_cast<double>(std::max<std::size_t>(table.limits.slots, 1));
+    // The next of `n` running calls ends after about 1/n of their mean time.
+    const auto n = static_cast<double>(std::max<std::size_t>(occupied(table), 1));
+    return ahead / slots + running / (n * n);
+}
+
+admission_decision submit(admission_table& table, admission_entry entry, time_point now,
+                          invariant_table& invariants) {
     admission_decision decision;
     entry.arrival = ++table.arrivals;
     const bool fifo = table.limits.fifo;
-    if (occupied(table) < table.limits.slots && table.waiting.empty()) {
+    if (may_start(table, entry) && (!fifo || table.waiting.empty())) {
         decision.verdict = admission_verdict::run;
         auto call = entry.call;
         table.running.emplace(std::move(call), std::move(entry));
         return decision;
     }
-    const auto importance = entry.importance;
-    if (table.waiting.size() >= table.limits.queue && !fifo && !table.waiting.empty()) {
-        const auto last = std::prev(table.waiting.end());
-        if (last->second.importance < importance) {
-            decision.evicted.push_back(last->second.call);
-            table.waiting.erase(last);
+    if (fifo) {
+        if (table.waiting.size() < table.limits.queue) {
+            decision.verdict = admission_verdict::queued;
+            table.waiting.emplace(order_of(entry, fifo), std::move(entry));
+        } else {
+            decision.reason = describe_load(table);
         }
+        return decision;
     }
-    const bool fits = table.waiting.size() < table.limits.queue;
-    if (!fifo) {
-        // One slot per waiting call is enough: calls told to stop free theirs soon.
-        const auto wanted = waiting_at_or_above(table, importance) + 1;
-        if (table.cancelling.size() < wanted) {
-            if (const auto victim = find_cancellable(table, importance)) {
-                decision.cancel.push_back(*victim);
-                table.cancelling.insert(table.running.extract(*victim));
-            }
+    const auto importance = entry.importance;
+    evict_for(table, entry, decision);
+    // Calls told to stop free their slots soon, so as many more may wait.
+    const bool fits = table.waiting.size() < table.limits.queue + table.cancelling.size();
+    const bool late = is_late(entry, expected_wait_ms(table, entry), now);
+    // Cancelling wastes the work done so far, so it happens only for a call that would otherwise be lost.
+    if ((!fits || late) && table.cancelling.size() < waiting_at_or_above(table, importance) + 1) {
+        if (const auto victim = find_cancellable(table, importance)) {
+            decision.cancel.push_back(*victim);
+            table.cancelling.insert(table.running.extract(*victim));
         }
     }
-    if (fits || !decision.cancel.empty()) {
+    const bool sheddable = !decision.cancel.empty() || can_shed_below(table, importance);
+    if (!decision.cancel.empty() || (fits && (!late || sheddable))) {
         decision.verdict = admission_verdict::queued;
         table.waiting.emplace(order_of(entry, fifo), std::move(entry));
         return decision;
     }
-    const bool nothing_less =
-        fifo || ((table.waiting.empty() || std::prev(table.waiting.end())->second.importance >= importance) &&
-                 !find_cancellable(table, importance));
-    check(invariants, invariant::shed_order, nothing_less, "refused while less important work could be shed");
+    check(invariants, invariant::shed_order, !sheddable, "refused while less important work could be shed");
     decision.reason = describe_load(table);
     return decision;
 }
 
-std::vector<std::string> complete(admission_table& table, std::string_view call) {
+queue_changes complete(admission_table& table, std::string_view call, time_point now) {
     const std::string key{call};
     if (table.running.erase(key) == 0 && table.cancelling.erase(key) == 0) {
         std::erase_if(table.waiting, [&](const auto& it) { return it.second.call == call; });
     }
-    return start_waiting(table);
+    return advance_queue(table, now);
 }
 
-std::vector<std::string> expire(admission_table& table, time_point now) {
-    std::vector<std::string> expired;
+queue_changes advance_queue(admission_table& table, time_point now) {
+    queue_changes changes;
     std::erase_if(table.waiting, [&](const auto& it) {
-        if (it.second.deadline > now) {
+        if (table.limits.fifo ? it.second.deadline > now : !is_late(it.second, 0, now)) {
             return false;
         }
-        expired.push_back(it.second.call);
+        changes.expired.push_back(it.second.call);
         return true;
     });
-    return expired;
-}
-
-std::vector<std::string> start_waiting(admission_table& table) {
-    std::vector<std::string> started;
-    while (occupied(table) < table.limits.slots && !table.waiting.empty()) {
-        auto node = table.waiting.extract(table.waiting.begin());
-        started.push_back(node.mapped().call);
-        table.running.emplace(node.mapped().call, std::move(node.mapped()));
+    for (auto it = table.waiting.begin();
+         it != table.waiting.end() && occupied(table) < table.limits.slots;) {
+        if (!may_start(table, it->second)) {
+            ++it;
+            continue;
+        }
+        changes.start.push_back(it->second.call);
+        auto entry = std::move(it->second);
+        it = table.waiting.erase(it);
+        auto call = entry.call;
+        table.running.emplace(std::move(call), std::move(entry));
     }
-    return started;
-}
-
-importance_level admitted_importance(const admission_table& table) {
-    if (table.limits.fifo || table.waiting.size() < table.limits.queue || table.waiting.empty()) {
-        return 0;
+    // Long calls that were passed over may start once no short call waits any more.
+    const bool again = std::any_of(table.waiting.begin(), table.waiting.end(),
+                                   [&](const auto& it) { return may_start(table, it.second); });
+    if (again) {
+        auto more = advance_queue(table, now);
+        changes.start.insert(changes.start.end(), more.start.begin(), more.start.end());
     }
-    const auto least = std::prev(table.waiting.end())->second.importance;
-    return std::min<importance_level>(max_importance, static_cast<importance_level>(least + 1));
+    return changes;
 }
 
 } // namespace baobabswitch
--- a/src/libbaobabswitch/admission.h
+++ b/src/libbaobabswitch/admission.h
@@ -20,13 +20,16 @@
     bool cancellable = true;
     time_point deadline;
     std::uint64_t arrival = 0; ///< order of arrival, set by submit()
+    double expected_ms = 0;    ///< learnt service time; 0 if unknown
+    bool is_long = false;      ///< of a kind that is long for this target
 };
 
 /// Bounds in force at the local target.
 struct admission_limits {
-    std::size_t slots = 1; ///< calls that run at the same time
-    std::size_t queue = 0; ///< calls that wait
-    bool fifo = false;     ///< baseline: order of arrival, no eviction, no cancellation
+    std::size_t slots = 1;        ///< calls that run at the same time
+    std::size_t queue = 0;        ///< calls that wait
+    bool fifo = false;            ///< baseline: order of arrival, no eviction, no cancellation
+    std::size_t long_reserve = 0; ///< slots that long calls leave free for short ones
 };
 
 /// Sorts waiting calls: more important first, then furthest along, then earliest.
@@ -64,19 +67,26 @@
     std::string reason;               ///< for the log, if refused: what runs and waits
 };
 
+/// What became of waiting calls when slots came free or time passed.
+struct queue_changes {
+    std::vector<std::string> start;   ///< hand these to the target now
+    std::vector<std::string> expired; ///< tell their senders "not run"
+};
+
 /// Decides about a new call.
-admission_decision submit(admission_table& table, admission_entry entry, invariant_table& invariants);
+admission_decision submit(admission_table& table, admission_entry entry, time_point now,
+                          invariant_table& invariants);
 
-/// Removes a call that ended or was given up, running or waiting, and returns the calls to start now.
-std::vector<std::string> complete(admission_table& table, std::string_view call);
+/// Removes a call that ended or was given up, running or waiting, and starts what may start.
+queue_changes complete(admission_table& table, std::string_view call, time_point now);
 
-/// Removes waiting calls whose time has run out and returns them.
-std::vector<std::string> expire(admission_table& table, time_point now);
+/// Removes waiting calls that can't complete in time any more and starts what may start.
+queue_changes advance_queue(admission_table& table, time_point now);
 
-/// Starts waiting calls after the limits were raised and returns them.
-std::vector<std::string> start_waiting(admission_table& table);
+/// Tells whether a waiting call could start in the present state; after each function above none can.
+bool may_start(const admission_table& table, const admission_entry& entry);
 
-/// Returns the least importance that submit() would not refuse now.
-importance_level admitted_importance(const admission_table& table);
+/// Returns how long a new call would wait in the queue, in milliseconds.
+double expected_wait_ms(const admission_table& table, const admission_entry& entry);
 
 } // namespace baobabswitch
--- a/src/libbaobabswitch/calltypes.h
+++ b/src/libbaobabswitch/calltypes.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace baobabswitch {
 
@@ -26,6 +27,13 @@
 /// Returns "done", "not-run", "unknown" or "promised".
 std::string_view outcome_name(outcome_kind kind);
 
+/// Least importance admitted for a kind; the fraction is the share of that importance that is refused.
+struct kind_threshold {
+    std::string kind;
+    double level = 0;
+};
+using threshold_list = std::vector<kind_threshold>;
+
 /// One call on its way to a target.
 struct call_info {
     std::string request; ///< identity of the whole request, the same on every hop
@@ -39,17 +47,20 @@
     unsigned depth = 0; ///< 0 for a call from an external caller
     time_point deadline;
     unsigned grant = 0; ///< retries that may be spent below
+    double weight = 1;  ///< calls of this kind that the sender had for each that it sent
     std::string body;
+    std::string parent_kind; ///< kind of the call at this node's target that causes this one, if any
+    importance_level parent_importance = 0;
 };
 
 /// How a call ended.
 struct call_outcome {
     outcome_kind kind = outcome_kind::unknown;
-    http_response answer;           ///< the target's answer, if done
-    std::optional<error> cause;     ///< why, if not done
-    unsigned spent = 0;             ///< retries spent below
-    importance_level threshold = 0; ///< least importance now admitted on the path below
-    milliseconds wait{0};           ///< expected queue wait at the target
+    http_response answer;       ///< the target's answer, if done
+    std::optional<error> cause; ///< why, if not done
+    unsigned spent = 0;         ///< retries spent below
+    threshold_list thresholds;  ///< levels now in force on the paths below, per kind of the service
+    milliseconds wait{0};       ///< expected queue wait at the target
 };
 
 /// Builds an outcome for a call that did not complete.
--- a/src/libbaobabswitch/entry.cpp
+++ b/src/libbaobabswitch/entry.cpp
@@ -109,6 +109,8 @@
     }
     call.info.request = parent.info.request;
     call.info.depth = parent.info.depth + 1;
+    call.info.parent_kind = parent.info.kind;
+    call.info.parent_importance = parent.info.importance;
     call.info.deadline = std::min(call.info.deadline, parent.info.deadline);
     call.info.importance = std::max(call.info.importance, parent.info.importance);
     retry_ledger ledger;
--- a/src/libbaobabswitch/nodestate.h
+++ b/src/libbaobabswitch/nodestate.h
@@ -11,8 +11,10 @@
 #include "metrics.h"
 #include "requestkeys.h"
 #include "retryledger.h"
+#include "servicetimes.h"
 #include "settings.h"
 #include "targetchoice.h"
+#include "thresholds.h"
 
 #include <memory>
 #include <set>
@@ -29,6 +31,7 @@
     std::size_t connections = 0;
     target_state state = target_state::none;
     time_point last_announced;
+    std::vector<std::string> kinds; ///< of the service in the price list
 };
 
 /// A call that this node received for its target.
@@ -62,6 +65,10 @@
     target_table choice;
     local_target target;
     admission_table admission;
+    service_time_table service_times;                   ///< of the local target
+    demand_meter demand;                                ///< at the local target
+    path_levels paths;                                  ///< below the local target
+    threshold_table thresholds;                         ///< of the services that this node sends calls to
     std::unordered_map<std::string, target_call> calls; ///< at the target beside this node, by call id
     key_table keys;
     bool draining = false;
--- a/src/libbaobabswitch/outgoingcall.cpp
+++ b/src/libbaobabswitch/outgoingcall.cpp
@@ -47,7 +47,24 @@
       on_done_(std::move(on_done)) {}
 
 void outgoing_call::start() {
-    attempt();
+    if (passes_threshold()) {
+        attempt();
+        return;
+    }
+    node_.metrics.count_event("refused-at-entry");
+    finish(make_failure(outcome_kind::not_run, error_kind::overloaded,
+                        "service \"" + info_.service + "\" admits only more important work now",
+                        "try again later"));
+}
+
+bool outgoing_call::passes_threshold() {
+    if (node_.config->policy.mode != policy_mode::baobabswitch) {
+        return true;
+    }
+    const auto level = threshold_level(node_.thresholds, info_.service, info_.kind, clock::now());
+    const double share = pass_share(level, info_.importance, info_.depth);
+    info_.weight = 1 / share;
+    return share >= 1 || std::uniform_real_distribution<double>{0, 1}(node_.rng) < share;
 }
 
 void outgoing_call::cancel() {
@@ -94,6 +111,8 @@
     if (auto* response = std::get_if<http_response>(&outcome)) {
         parsed = parse_hop_response(std::move(*response));
         give_back(ledger_, loan, parsed.spent, node_.invariants);
+        learn_thresholds(node_.thresholds, info_.service, target, std::move(parsed.thresholds), clock::now());
+        report_to_parent();
         if (parsed.kind == outcome_kind::done) {
             latency = clock::now() - sent_at;
         }
@@ -114,6 +133,18 @@
     }
 }
 
+/// Makes the level of this path known to the callers of the parent's kind. The level is moved by the
+/// difference in importance, so that it refuses the same share of parents as of children.
+void outgoing_call::report_to_parent() {
+    if (info_.parent_kind.empty()) {
+        return;
+    }
+    const auto now = clock::now();
+    const double level = threshold_level(node_.thresholds, info_.service, info_.kind, now);
+    learn_child_level(node_.paths, info_.parent_kind, info_.kind,
+                      std::max(0.0, level + info_.parent_importance - info_.importance), now);
+}
+
 bool outgoing_call::may_retry() {
     if (cancelled_) {
         return false;
@@ -129,7 +160,10 @@
 }
 
 void outgoing_call::on_not_run(call_outcome outcome) {
-    const bool terminal = outcome.cause && outcome.cause->kind == error_kind::expired;
+    // Where the level refuses calls of this importance, the other targets of the service are full too.
+    const bool below =
+        threshold_level(node_.thresholds, info_.service, info_.kind, clock::now()) > info_.importance;
+    const bool terminal = below || (outcome.cause && outcome.cause->kind == error_kind::expired);
     const auto others =
         std::count_if(node_.choice.targets.begin(), node_.choice.targets.end(), [&](const auto& it) {
             return it.second.service == info_.service && it.second.available &&
--- a/src/libbaobabswitch/outgoingcall.h
+++ b/src/libbaobabswitch/outgoingcall.h
@@ -22,6 +22,8 @@
     void cancel();
 
 private:
+    bool passes_threshold();
+    void report_to_parent();
     void attempt();
     void on_result(const std::string& target, unsigned loan, time_point sent_at, http_result outcome);
     void on_not_run(call_outcome outcome);
--- a/src/libbaobabswitch/peermessages.cpp
+++ b/src/libbaobabswitch/peermessages.cpp
@@ -1,14 +1,20 @@
 #include "peermessages.h"
 
+#include "thresholds.h"
+
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace baobabswitch {
 
 namespace {
 
 constexpr std::string_view internal_prefix = "Baobab-Internal-";
+constexpr std::uint64_t weight_unit = 100; ///< weights travel in hundredths
+constexpr double max_weight = 100;
 
 /// Returns the internal headers as one text that the MAC covers.
 std::string signed_headers(const http_headers& headers) {
@@ -126,6 +132,7 @@
         {"Baobab-Internal-Timeout-Ms", std::to_string(timeout.count())},
         {"Baobab-Internal-Grant", std::to_string(grant)},
         {"Baobab-Internal-Depth", std::to_string(info.depth)},
+        {"Baobab-Internal-Weight", std::to_string(std::lround(info.weight * weight_unit))},
     };
     return make_peer_request(node, "POST", "/n/call/" + info.service + info.path, std::move(headers),
                              info.body);
@@ -155,6 +162,9 @@
     info.idempotent = flag(headers, "Baobab-Internal-Idempotent");
     info.cancellable = flag(headers, "Baobab-Internal-Cancellable");
     info.depth = static_cast<unsigned>(*depth);
+    info.weight = std::clamp(
+        static_cast<double>(number(headers, "Baobab-Internal-Weight").value_or(weight_unit)) / weight_unit,
+        1.0, max_weight);
     info.grant = static_cast<unsigned>(*grant);
     info.deadline = now + milliseconds{*timeout};
     info.body = request.body;
@@ -172,7 +182,7 @@
     }
     response.headers.emplace_back("Baobab-Outcome", outcome_name(outcome.kind));
     response.headers.emplace_back("Baobab-Internal-Spent", std::to_string(outcome.spent));
-    response.headers.emplace_back("Baobab-Internal-Threshold", std::to_string(outcome.threshold));
+    response.headers.emplace_back("Baobab-Internal-Threshold", format_thresholds(outcome.thresholds));
     response.headers.emplace_back("Baobab-Internal-Wait-Ms", std::to_string(outcome.wait.count()));
     if (outcome.kind == outcome_kind::not_run) {
         response.headers.emplace_back("Baobab-Internal-Not-Run", "1");
@@ -187,8 +197,7 @@
         outcome.kind = outcome_kind::unknown;
     }
     outcome.spent = static_cast<unsigned>(number(response.headers, "Baobab-Internal-Spent").value_or(0));
-    const auto threshold = number(response.headers, "Baobab-Internal-Threshold").value_or(0);
-    outcome.threshold = static_cast<importance_level>(std::min<std::uint64_t>(threshold, max_importance));
+    outcome.thresholds = parse_thresholds(header_or_empty(response.headers, "Baobab-Internal-Threshold"));
     outcome.wait = milliseconds{number(response.headers, "Baobab-Internal-Wait-Ms").value_or(0)};
     if (outcome.kind != outcome_kind::done) {
         const auto body = nlohmann::json::parse(response.body, nullptr, false);
--- a/src/libbaobabswitch/targetside.cpp
+++ b/src/libbaobabswitch/targetside.cpp
@@ -5,13 +5,28 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cmath>
+
 namespace baobabswitch {
 
 namespace {
 
 constexpr std::chrono::seconds announcement_lifetime{3};
 
-void start_calls(node_state& node, const std::vector<std::string>& calls);
+void apply(node_state& node, const queue_changes& changes);
+
+admission_entry admission_entry_of(const node_state& node, const call_info& info) {
+    return {info.call,
+            info.kind,
+            info.importance,
+            info.depth,
+            info.cancellable,
+            info.deadline,
+            0,
+            expected_service_ms(node.service_times, info.kind),
+            is_long_kind(node.service_times, info.kind)};
+}
 
 /// Ends a call: tells its sender, frees its slot and starts what waited for it.
 void finish_call(node_state& node, const std::string& call, call_outcome outcome) {
@@ -26,9 +41,15 @@
               outcome.cause->kind == error_kind::target_failed,
           "\"not run\" for a call that was handed to the target");
     outcome.spent = ended.ledger.spent + ended.ledger.lent;
-    outcome.threshold = admitted_importance(node.admission);
+    const auto now = clock::now();
+    if (outcome.kind == outcome_kind::done && outcome.answer.status < 500) {
+        learn_service_time(node.service_times, ended.info.kind, now - ended.started);
+    }
+    outcome.thresholds = report_thresholds(node.paths, node.demand.level, node.target.kinds, now);
+    outcome.wait =
+        milliseconds{std::lround(expected_wait_ms(node.admission, admission_entry_of(node, ended.info)))};
     ended.finish(std::move(outcome));
-    start_calls(node, complete(node.admission, call));
+    apply(node, complete(node.admission, call, now));
 }
 
 call_outcome outcome_of(http_result result) {
@@ -105,12 +126,18 @@
         });
 }
 
-void start_calls(node_state& node, const std::vector<std::string>& calls) {
-    for (const auto& it : calls) {
+/// Carries out what admission decided about waiting calls.
+void apply(node_state& node, const queue_changes& changes) {
+    for (const auto& it : changes.start) {
         if (node.calls.contains(it)) {
             send_to_target(node, it);
         }
     }
+    for (const auto& it : changes.expired) {
+        finish_call(node, it,
+                    make_failure(outcome_kind::not_run, error_kind::expired,
+                                 "the call can't complete in its time any more", "allow more time"));
+    }
 }
 
 /// The sender has gone: a waiting call is dropped, a running one is cancelled if its kind allows it.
@@ -180,7 +207,8 @@
           node.target.state == target_state::up && !node.draining,
           "a target that is leaving was given a call");
     const auto call = info.call;
-    admission_entry entry{call, info.kind, info.importance, info.depth, info.cancellable, info.deadline, 0};
+    auto entry = admission_entry_of(node, info);
+    count_demand(node.demand, info.importance, entry.expected_ms, info.weight, entry.is_long);
     target_call added;
     added.ledger.granted = info.grant;
     added.info = std::move(info);
@@ -190,7 +218,7 @@
     };
     node.calls.emplace(call, std::move(added));
     exchange->on_abandoned([&node, call] { abandon_call(node, call); });
-    apply(node, call, submit(node.admission, std::move(entry), node.invariants));
+    apply(node, call, submit(node.admission, std::move(entry), clock::now(), node.invariants));
 }
 
 void handle_announce(node_state& node, const http_request& request, http_exchange& exchange) {
@@ -219,6 +247,12 @@
     const auto service = config.services.find(node.target.service);
     const auto limits = service == config.services.end() ? service_config{} : service->second;
     node.targets.limit_connections(node.target.address, std::max<std::size_t>(node.target.connections, 1));
+    node.target.kinds.clear();
+    for (const auto& [name, kind] : config.kinds) {
+        if (kind.service == node.target.service) {
+            node.target.kinds.push_back(name);
+        }
+    }
     auto& table = node.admission.limits;
     table.queue = limits.queue;
     table.slots = std::min(limits.slots, std::max<std::size_t>(node.target.slots, 1));
@@ -228,12 +262,35 @@
     }
 }
 
-void tick_target_side(node_state& node, time_point now) {
-    for (const auto& it : expire(node.admission, now)) {
-        finish_call(node, it,
-                    make_failure(outcome_kind::not_run, error_kind::expired,
-                                 "the call's time ran out in the queue", "allow more time"));
+namespace {
+
+/// Slots kept free of long calls: one in ten, or what short calls need, whichever is more. Two standard
+/// deviations of the number of short calls in progress are added to their mean, so that few of them wait.
+std::size_t long_reserve(const node_state& node) {
+    if (node.admission.limits.fifo) {
+        return 0;
     }
+    constexpr std::size_t slots_per_reserved = 10;
+    const double need = node.demand.short_slots + 2 * std::sqrt(node.demand.short_slots);
+    return std::max(node.admission.limits.slots / slots_per_reserved,
+                    static_cast<std::size_t>(std::ceil(need)));
+}
+
+void update_demand(node_state& node, time_point now) {
+    const auto& waiting = node.admission.waiting;
+    const auto backlog = std::count_if(waiting.begin(), waiting.end(), [&](const auto& it) {
+        return it.second.importance + 1 > node.demand.level;
+    });
+    update_level(node.demand, static_cast<double>(node.admission.limits.slots), static_cast<double>(backlog),
+                 now);
+    node.admission.limits.long_reserve = long_reserve(node);
+    node.metrics.set_gauge("level", node.demand.level);
+}
+
+} // namespace
+
+void tick_target_side(node_state& node, time_point now) {
+    update_demand(node, now);
     if (node.target.state != target_state::none && node.target.state != target_state::down &&
         now - node.target.last_announced > announcement_lifetime) {
         log(log_level::warning, "target", "the target stopped announcing itself; no new work is sent to it",
@@ -241,7 +298,7 @@
         node.target.state = target_state::down;
         update_own_entry(node);
     }
-    start_calls(node, start_waiting(node.admission));
+    apply(node, advance_queue(node.admission, now));
 }
 
 void update_own_entry(node_state& node) {
--- a/tests/calls/test_admission.cpp
+++ b/tests/calls/test_admission.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+const time_point now{};
+
 admission_entry entry(std::string call, importance_level importance, bool cancellable = false) {
     admission_entry it;
     it.call = std::move(call);
@@ -21,25 +23,25 @@
     // Guards against refusing a permit purchase while a map download waits in the queue.
     invariant_table invariants;
     admission_table table;
-    table.limits = {1, 2, false};
-    CHECK(submit(table, entry("a", 5), invariants).verdict == admission_verdict::run);
-    CHECK(submit(table, entry("b", 1), invariants).verdict == admission_verdict::queued);
-    CHECK(submit(table, entry("c", 3), invariants).verdict == admission_verdict::queued);
-    const auto decision = submit(table, entry("d", 9), invariants);
+    table.limits = {1, 2, false, 0};
+    CHECK(submit(table, entry("a", 5), now, invariants).verdict == admission_verdict::run);
+    CHECK(submit(table, entry("b", 1), now, invariants).verdict == admission_verdict::queued);
+    CHECK(submit(table, entry("c", 3), now, invariants).verdict == admission_verdict::queued);
+    const auto decision = submit(table, entry("d", 9), now, invariants);
     CHECK(decision.verdict == admission_verdict::queued);
     CHECK(decision.evicted == std::vector<std::string>{"b"});
-    CHECK(submit(table, entry("e", 3), invariants).verdict == admission_verdict::refused);
+    CHECK(submit(table, entry("e", 3), now, invariants).verdict == admission_verdict::refused);
     CHECK(violations(invariants) == 0);
-    CHECK(complete(table, "a") == std::vector<std::string>{"d"});
+    CHECK(complete(table, "a", now).start == std::vector<std::string>{"d"});
 }
 
 TEST_CASE("an important call has less important running work cancelled", "[admission]") {
     invariant_table invariants;
     admission_table table;
-    table.limits = {1, 0, false};
-    submit(table, entry("a", 1, true), invariants);
-    const auto decision = submit(table, entry("b", 9), invariants);
+    table.limits = {1, 0, false, 0};
+    submit(table, entry("a", 1, true), now, invariants);
+    const auto decision = submit(table, entry("b", 9), now, invariants);
     CHECK(decision.verdict == admission_verdict::queued);
     CHECK(decision.cancel == std::vector<std::string>{"a"});
-    CHECK(complete(table, "a") == std::vector<std::string>{"b"});
+    CHECK(complete(table, "a", now).start == std::vector<std::string>{"b"});
 }
