--- a/src/libbaobabswitch/promiseservice.cpp
+++ b/src/libbaobabswitch/promiseservice.cpp
@@ -112,6 +112,8 @@
 
 promise_service::~promise_service() {
     caf::scoped_actor self{impl_->actor.home_system()};
+    // Outcomes that stay unwritten would be reported as unknown by the node that adopts the batches.
+    self->send(impl_->actor, tick_atom::value);
     self->send_exit(impl_->actor, caf::exit_reason::user_shutdown);
     self->wait_for(impl_->actor);
 }
