--- a/src/libbaobabswitch/httpserver.cpp
+++ b/src/libbaobabswitch/httpserver.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -29,6 +30,7 @@
     handler on_request;
     std::size_t connections = 0;
     bool accepting = true;
+    bool keep_alive = true;
 };
 
 namespace {
@@ -92,7 +94,7 @@
         }
         state_ = state::writing;
         abandoned_ = nullptr;
-        write(std::move(answer), keep_alive_ && server_->accepting);
+        write(std::move(answer), keep_alive_ && server_->keep_alive);
     }
 
 private:
@@ -188,10 +190,27 @@
                                         self->on_read_failed(ec);
                                         return;
                                     }
-                                    self->read_body();
+                                    self->confirm_body();
                                 });
     }
 
+    /// Tells a client that waits for it to go on with the body; curl would else pause for a second.
+    void confirm_body() {
+        if (!beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
+            read_body();
+            return;
+        }
+        static constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+        asio::async_write(stream_, asio::buffer(go_on.data(), go_on.size()),
+                          [self = shared_from_this()](error_code ec, std::size_t) {
+                              if (ec) {
+                                  self->on_read_failed(ec);
+                                  return;
+                              }
+                              self->read_body();
+                          });
+    }
+
     void read_body() {
         limit_read(server_->options.body_timeout);
         http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](error_code ec, std::size_t) {
@@ -391,7 +410,12 @@
     return impl_->connections;
 }
 
+void http_server::end_keep_alive() {
+    impl_->keep_alive = false;
+}
+
 void http_server::stop_accepting() {
+    impl_->keep_alive = false;
     impl_->accepting = false;
     error_code ec;
     impl_->acceptor.close(ec);
--- a/src/libbaobabswitch/httpserver.h
+++ b/src/libbaobabswitch/httpserver.h
@@ -59,6 +59,8 @@
     /// Returns the port in use, also when the address asked for any.
     std::uint16_t port() const;
     std::size_t open_connections() const;
+    /// Ends each connection after its next answer, so that clients move elsewhere before this server stops.
+    void end_keep_alive();
     /// Accepts no more connections; open ones go on.
     void stop_accepting();
 
--- a/src/libbaobabswitch/keyowner.cpp
+++ b/src/libbaobabswitch/keyowner.cpp
@@ -52,6 +52,11 @@
                             "the key's owner gave no answer in time",
                             "ask for the outcome with the request key");
     }
+    if (failure.kind == http_failure_kind::cancelled) {
+        return make_failure(outcome_kind::unknown, error_kind::cancelled,
+                            "the call was given up before the key's owner answered",
+                            "ask for the outcome with the request key");
+    }
     return owner_unreachable(owner, failure.detail);
 }
 
--- a/src/libbaobabswitch/node.cpp
+++ b/src/libbaobabswitch/node.cpp
@@ -228,6 +228,7 @@
     }
     log(log_level::info, "node", "shutting down; waiting for calls in flight");
     state_.draining = true;
+    server_->end_keep_alive();
     drain_started_ = clock::now();
     if (state_.target.state == target_state::up) {
         state_.target.state = target_state::leaving;
--- a/src/libbaobabswitch/targetside.cpp
+++ b/src/libbaobabswitch/targetside.cpp
@@ -345,8 +345,10 @@
         return;
     }
     if (node.calls.contains(info.call)) {
-        refuse_hop(*exchange, error_kind::malformed, "the call is already at this node",
-                   "send each call once");
+        // The first message with this call id may have run, so this is no "not run".
+        exchange->respond(
+            make_hop_response(make_failure(outcome_kind::unknown, error_kind::malformed,
+                                           "the call is already at this node", "send each call once")));
         return;
     }
     if (node.calls.size() >= max_calls) {
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -181,3 +181,29 @@
     loop.run();
     CHECK(status == 413);
 }
+
+TEST_CASE("a client that asks before it sends its body is told to go on", "[http]") {
+    // Guards against the pause of a second that curl makes without an answer to Expect.
+    event_loop loop;
+    auto& context = loop.implementation().context;
+    auto server =
+        http_server::listen(loop, {"127.0.0.1", 0}, {}, [](const http_request& request, auto exchange) {
+            exchange->respond({200, {}, request.body});
+        });
+    REQUIRE(server);
+    asio::ip::tcp::socket client{context};
+    client.connect({asio::ip::make_address("127.0.0.1"), server.value()->port()});
+    asio::write(client, asio::buffer(std::string{
+                            "POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"}));
+    std::string answer;
+    asio::async_read_until(
+        client, asio::dynamic_buffer(answer), "\r\n\r\n", [&](boost::system::error_code, std::size_t) {
+            CHECK(answer.starts_with("HTTP/1.1 100"));
+            answer.clear();
+            asio::write(client, asio::buffer(std::string{"ok"}));
+            asio::async_read_until(client, asio::dynamic_buffer(answer), "\r\n\r\nok",
+                                   [&](boost::system::error_code, std::size_t) { loop.stop(); });
+        });
+    loop.run();
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+}
