--- /dev/null
+++ b/src/baobabswitchctl/commands.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "ctlsettings.h"
+#include "exitcode.h"
+#include "output.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace baobabswitch {
+
+/// One invocation of baobabswitchctl.
+struct ctl_invocation {
+    std::string command;
+    std::vector<std::string> arguments;
+    ctl_settings settings;
+    output_form form = output_form::table;
+    std::string reason;
+    std::optional<std::uint64_t> base_version; ///< of apply; not given: the version in the platform
+    std::string write_id;                      ///< of an apply whose outcome is to be settled
+    bool wait = true;
+    std::chrono::seconds wait_limit{30};
+    std::size_t limit = 20; ///< entries of audit
+};
+
+/// A command with what completion and the help say about it.
+struct ctl_command {
+    std::string_view name;
+    std::string_view argument; ///< empty: takes none
+    std::string_view help;
+    exit_code (*run)(const ctl_invocation& invocation);
+};
+
+/// Returns all commands in the order of the help.
+const std::vector<ctl_command>& ctl_commands();
+
+/// Runs a command and returns its exit code; an unknown command is a usage error.
+exit_code run_command(const ctl_invocation& invocation);
+
+/// Writes an error to standard error and returns its exit code.
+exit_code report(const error& err);
+
+} // namespace baobabswitch
--- /dev/null
+++ b/src/baobabswitchctl/completion.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <iosfwd>
+
+namespace baobabswitch {
+
+/// Writes a completion script for bash, made from the commands and options.
+void write_bash_completion(std::ostream& out);
+
+} // namespace baobabswitch
--- a/src/baobabswitchctl/main.cpp
+++ b/src/baobabswitchctl/main.cpp
@@ -1,5 +1,114 @@
-#include <cstdlib>
+#include "commands.h"
+#include "completion.h"
+#include "ctlsettings.h"
 
-int main() {
-    return EXIT_SUCCESS;
+#include <cxxopts.hpp>
+
+#include <iostream>
+
+using namespace baobabswitch;
+
+namespace {
+
+template <class Value>
+Value given(const cxxopts::ParseResult& args, const char* name) {
+    return args.count(name) > 0 ? args[name].as<Value>() : Value{};
+}
+
+cxxopts::Options make_options() {
+    cxxopts::Options options{"baobabswitchctl", "Operators' command-line tool of baobabswitch."};
+    options.positional_help("COMMAND [ARGUMENT]");
+    const auto text = [] {
+        return cxxopts::value<std::string>();
+    };
+    options.add_options()("platform", "address of the platform", text())(
+        "node", "admin address of a node; may be repeated", cxxopts::value<std::vector<std::string>>())(
+        "settings", "TOML file with platform, nodes, token and author",
+        text())("token-file", "file that holds the operator's token",
+                text())("author", "who makes the change", text())("reason", "why the change is made", text())(
+        "output", "table or json", text()->default_value("table"))(
+        "base-version", "version that the change starts from",
+        cxxopts::value<std::uint64_t>())("write-id", "write identity of an apply to settle", text())(
+        "no-wait", "don't wait until an accepted version is in force")(
+        "wait-seconds", "longest wait of apply", cxxopts::value<unsigned>()->default_value("30"))(
+        "limit", "entries of audit", cxxopts::value<std::size_t>()->default_value("20"))(
+        "version", "print the version and exit")("help", "print this help and exit");
+    options.add_options("hidden")("command", "", text())("arguments", "",
+                                                         cxxopts::value<std::vector<std::string>>());
+    options.parse_positional({"command", "arguments"});
+    return options;
+}
+
+void write_help(const cxxopts::Options& options) {
+    std::cout << options.help({""}) << "\nCommands:\n";
+    for (const auto& it : ctl_commands()) {
+        const auto usage = std::string{it.name} + ' ' + std::string{it.argument};
+        std::cout << "  " << usage << std::string(20 - usage.size(), ' ') << it.help << '\n';
+    }
+    std::cout << "\nman baobabswitchctl explains the exit codes.\n";
+}
+
+exit_code run(const cxxopts::ParseResult& args) {
+    ctl_arguments from_line;
+    from_line.settings_file = given<std::string>(args, "settings");
+    from_line.platform = given<std::string>(args, "platform");
+    from_line.nodes = given<std::vector<std::string>>(args, "node");
+    from_line.token_file = given<std::string>(args, "token-file");
+    from_line.author = given<std::string>(args, "author");
+    auto settings = read_ctl_settings(from_line);
+    if (!settings) {
+        return report(settings.error());
+    }
+    ctl_invocation invocation;
+    invocation.command = args["command"].as<std::string>();
+    invocation.arguments = given<std::vector<std::string>>(args, "arguments");
+    invocation.settings = std::move(settings.value());
+    const auto form = args["output"].as<std::string>();
+    if (form != "table" && form != "json") {
+        return report(
+            {error_kind::bad_settings, "\"" + form + "\" is not an output form", "use table or json"});
+    }
+    invocation.form = form == "json" ? output_form::json : output_form::table;
+    invocation.reason = given<std::string>(args, "reason");
+    if (args.count("base-version") > 0) {
+        invocation.base_version = args["base-version"].as<std::uint64_t>();
+    }
+    invocation.write_id = given<std::string>(args, "write-id");
+    invocation.wait = args.count("no-wait") == 0;
+    invocation.wait_limit = std::chrono::seconds{args["wait-seconds"].as<unsigned>()};
+    invocation.limit = args["limit"].as<std::size_t>();
+    return run_command(invocation);
+}
+
+exit_code start(int argc, char** argv) {
+    auto options = make_options();
+    try {
+        const auto args = options.parse(argc, argv);
+        if (args.count("help") > 0) {
+            write_help(options);
+            return exit_code::done;
+        }
+        if (args.count("version") > 0) {
+            std::cout << "baobabswitchctl " BAOBABSWITCH_VERSION "\n";
+            return exit_code::done;
+        }
+        if (args.count("command") == 0) {
+            std::cerr << "baobabswitchctl: name a command; see --help\n";
+            return exit_code::usage;
+        }
+        if (args["command"].as<std::string>() == "completion-bash") {
+            write_bash_completion(std::cout);
+            return exit_code::done;
+        }
+        return run(args);
+    } catch (const cxxopts::exceptions::exception& ex) {
+        std::cerr << "baobabswitchctl: " << ex.what() << "; see --help\n";
+        return exit_code::usage;
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    return static_cast<int>(start(argc, argv));
 }
--- a/src/libbaobabswitch/configstore.cpp
+++ b/src/libbaobabswitch/configstore.cpp
@@ -234,7 +234,7 @@
     if (!stored && stored.error().kind == error_kind::not_found) {
         if (change.base_version != 0) {
             return error{error_kind::conflict, "there is no configuration any more",
-                         "check who removed the object \"" + std::string{config_object} + "\""};
+                         "check who removed the object \"" + std::string{config_object_name} + "\""};
         }
         const auto audited = greatest_audited(store);
         if (!audited) {
@@ -292,19 +292,19 @@
 result<stored_config> parse_stored_config(std::string_view value, std::uint64_t object_version) {
     const auto object = json::parse(value, nullptr, false);
     if (!object.is_object() || !object.contains("document") || !object.contains("recent")) {
-        return damaged(config_object);
+        return damaged(config_object_name);
     }
     const auto change = entry_from_json(object);
     auto recent = entries_from_json(object["recent"]);
     if (!change || !recent || recent->empty() || recent->back().version != change->version ||
         document_digest(object["document"]) != change->digest) {
-        return damaged(config_object);
+        return damaged(config_object_name);
     }
     return stored_config{*change, object["document"], std::move(*recent), object_version};
 }
 
 result<stored_config> read_config(object_store& store) {
-    const auto object = store.get(config_object);
+    const auto object = store.get(config_object_name);
     if (!object) {
         return object.error();
     }
@@ -369,7 +369,7 @@
             return error{error_kind::too_large, "the document is too large for one object of 1 MB",
                          "remove kinds or services that are no longer used"};
         }
-        const auto written = store.put(config_object, value, base.value().object_version);
+        const auto written = store.put(config_object_name, value, base.value().object_version);
         if (written) {
             return entry;
         }
--- a/src/libbaobabswitch/configstore.h
+++ b/src/libbaobabswitch/configstore.h
@@ -12,7 +12,7 @@
 
 namespace baobabswitch {
 
-inline constexpr std::string_view config_object = "config/document";
+inline constexpr std::string_view config_object_name = "config/document";
 inline constexpr std::string_view audit_prefix = "audit/";
 
 /// Accepted changes that one audit object holds.
