Add the operators' endpoints and the console

Cause: configuration could be changed only by the command-line client, and a node only stopped by a signal. Change: GET and PUT /v1/config, /v1/changes, /v1/audit, /v1/rollout, /v1/schema, POST /v1/drain and /console. Changes need a token whose digest the settings list. The console's forms are made from the schema that validates; it shows the difference, each domain's version, conflicts and unknown outcomes. At most 4 of the 8 admin threads wait for the platform, so /health answers while it is silent; equal reads within 1 s share one call. The write budget of a domain follows the design's 40/s. Conclusion: test_integration [operators] passes against a real node and the stand-in platform.

--- a/src/baobabswitchd/main.cpp
+++ b/src/baobabswitchd/main.cpp
@@ -62,7 +62,7 @@
     actor_options.set("scheduler.max-threads", 1);
     caf::actor_system actors{actor_options};
     const auto promises = start_promises(it, actors);
-    auto admin = admin_server::start(it.state());
+    auto admin = admin_server::start(it.state(), [&it] { it.drain(); });
     if (!admin) {
         return report(admin.error());
     }
--- /dev/null
+++ b/src/libbaobabswitch/adminconfig.cpp
@@ -0,0 +1,147 @@
+#include "adminconfig.h"
+
+#include "configdocument.h"
+#include "configstore.h"
+#include "peermessages.h"
+#include "rollout.h"
+
+namespace baobabswitch {
+
+namespace {
+
+using json = nlohmann::json;
+
+unsigned status_of(error_kind kind) {
+    switch (kind) {
+    case error_kind::bad_document:
+    case error_kind::malformed:
+        return 400;
+    case error_kind::not_found:
+        return 404;
+    case error_kind::conflict:
+        return 409;
+    case error_kind::too_large:
+        return 413;
+    case error_kind::store_unavailable:
+        return 503;
+    case error_kind::outcome_unknown:
+        return 504;
+    default:
+        return 500;
+    }
+}
+
+http_response refuse(const error& err) {
+    return json_response(status_of(err.kind), error_body(err));
+}
+
+error bad_body(const std::string& what) {
+    return {error_kind::malformed, "the request " + what,
+            "send {\"document\", \"author\", \"reason\", \"base_version\", \"write_id\"}"};
+}
+
+std::string text_of(const json& body, const char* name) {
+    const auto it = body.find(name);
+    return it != body.end() && it->is_string() ? it->get<std::string>() : std::string{};
+}
+
+/// Reads a body that has at least a document.
+result<json> parse_body(std::string_view text) {
+    auto body = json::parse(text, nullptr, false);
+    if (!body.is_object()) {
+        return bad_body("is not a JSON object");
+    }
+    if (!body.contains("document")) {
+        return bad_body("has no document");
+    }
+    return body;
+}
+
+result<config_change> read_change(std::string_view text) {
+    auto body = parse_body(text);
+    if (!body) {
+        return body.error();
+    }
+    const auto& it = body.value();
+    const auto base = it.find("base_version");
+    if (base == it.end() || !base->is_number_unsigned()) {
+        return bad_body("has no base_version");
+    }
+    config_change change;
+    change.document = it["document"];
+    change.author = text_of(it, "author");
+    change.reason = text_of(it, "reason");
+    change.write_id = text_of(it, "write_id");
+    change.base_version = base->get<std::uint64_t>();
+    change.may_be_written = it.contains("settle") && it["settle"] == true;
+    return change;
+}
+
+} // namespace
+
+http_response answer_get_config(object_store& store, std::uint64_t version_here) {
+    const auto stored = read_config(store);
+    if (!stored && stored.error().kind != error_kind::not_found) {
+        return refuse(stored.error());
+    }
+    json body{{"version", 0}, {"document", nullptr}};
+    if (stored) {
+        body = to_json(stored.value().change);
+        body["document"] = stored.value().document;
+    }
+    body["version_here"] = version_here;
+    return json_response(200, body.dump());
+}
+
+http_response answer_put_config(object_store& store, std::string_view body, std::uint64_t version_here,
+                                std::chrono::system_clock::time_point now) {
+    auto change = read_change(body);
+    if (!change) {
+        return refuse(change.error());
+    }
+    change.value().time = utc_time(now);
+    change.value().floor_version = version_here;
+    const auto accepted = apply_change(store, change.value());
+    return accepted ? json_response(200, to_json(accepted.value()).dump()) : refuse(accepted.error());
+}
+
+http_response answer_changes(object_store& store, std::string_view body) {
+    const auto parsed = parse_body(body);
+    if (!parsed) {
+        return refuse(parsed.error());
+    }
+    const auto& document = parsed.value()["document"];
+    if (const auto valid = configuration_from_json(document); !valid) {
+        return refuse(valid.error());
+    }
+    const auto stored = read_config(store);
+    if (!stored && stored.error().kind != error_kind::not_found) {
+        return refuse(stored.error());
+    }
+    auto list = json::array();
+    for (const auto& it : document_changes(stored ? stored.value().document : json::object(), document)) {
+        list.push_back(
+            {{"path", it.path}, {"before", it.before}, {"after", it.after}, {"text", describe(it)}});
+    }
+    const auto version = stored ? stored.value().change.version : 0;
+    return json_response(200, json{{"base_version", version}, {"changes", std::move(list)}}.dump());
+}
+
+http_response answer_audit(object_store& store, std::size_t limit) {
+    const auto trail = read_audit(store, limit);
+    if (!trail) {
+        return refuse(trail.error());
+    }
+    auto list = json::array();
+    for (const auto& it : trail.value()) {
+        list.push_back(to_json(it));
+    }
+    return json_response(200, json{{"changes", std::move(list)}}.dump());
+}
+
+http_response answer_rollout(object_store& store, std::chrono::system_clock::time_point now) {
+    const auto state = read_rollout(store, now);
+    return state ? json_response(200, to_json(state.value()).dump()) : refuse(state.error());
+}
+
+} // namespace baobabswitch
--- a/src/libbaobabswitch/adminserver.cpp
+++ b/src/libbaobabswitch/adminserver.cpp
@@ -1,31 +1,19 @@
 #include "adminserver.h"
 
+#include "looprequest.h"
+#include "operatorroutes.h"
 #include "peermessages.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
-#include <future>
 #include <thread>
 
 namespace baobabswitch {
 
 namespace {
 
-constexpr std::size_t admin_threads = 4;
-constexpr milliseconds loop_timeout{1000};
-
-/// Runs a function on the event loop and returns its result, or nothing if the loop doesn't answer in time.
-template <class Result>
-std::optional<Result> ask_loop(event_loop& loop, std::function<Result()> fn) {
-    auto promise = std::make_shared<std::promise<Result>>();
-    auto answer = promise->get_future();
-    loop.post([promise, fn = std::move(fn)] { promise->set_value(fn()); });
-    if (answer.wait_for(loop_timeout) != std::future_status::ready) {
-        return std::nullopt;
-    }
-    return answer.get();
-}
+constexpr std::size_t admin_threads = 8;
 
 std::string status_json(const node_state& node) {
     auto members = nlohmann::json::array();
@@ -53,7 +41,7 @@
     std::thread thread;
 };
 
-result<std::unique_ptr<admin_server>> admin_server::start(node_state& node) {
+result<std::unique_ptr<admin_server>> admin_server::start(node_state& node, std::function<void()> drain) {
     auto state = std::make_unique<impl>();
     auto& server = state->server;
     server.new_task_queue = [] {
@@ -87,6 +75,7 @@
                    response.status = text ? 200 : 503;
                    response.set_content(text.value_or("{}"), "application/json");
                });
+    add_operator_routes(server, node, std::move(drain));
     const auto& address = node.settings.admin;
     if (!server.bind_to_port(address.host, address.port)) {
         return error{error_kind::bad_settings, "can't listen on the admin address " + to_string(address),
--- a/src/libbaobabswitch/adminserver.h
+++ b/src/libbaobabswitch/adminserver.h
@@ -2,6 +2,7 @@
 
 #include "nodestate.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -10,8 +11,9 @@
 /// Operators' HTTP interface of a node, on its own threads.
 class admin_server {
 public:
-    /// Starts to listen on the admin address. Fails with bad_settings.
-    static result<std::unique_ptr<admin_server>> start(node_state& node);
+    /// Starts to listen on the admin address. `drain` is called on the event loop when an operator asks the
+    /// node to stop. Fails with bad_settings.
+    static result<std::unique_ptr<admin_server>> start(node_state& node, std::function<void()> drain);
 
     struct impl;
     explicit admin_server(std::unique_ptr<impl> state);
--- /dev/null
+++ b/src/libbaobabswitch/operatorauth.cpp
@@ -0,0 +1,29 @@
+#include "operatorauth.h"
+
+#include "mac.h"
+
+#include <sodium.h>
+
+namespace baobabswitch {
+
+namespace {
+
+constexpr std::string_view scheme = "Bearer ";
+
+} // namespace
+
+bool is_operator(std::span<const std::string> digests, std::string_view authorization) {
+    if (!authorization.starts_with(scheme) || authorization.size() == scheme.size()) {
+        return false;
+    }
+    const auto digest = token_digest(authorization.substr(scheme.size()));
+    bool found = false;
+    for (const auto& it : digests) {
+        const bool same =
+            it.size() == digest.size() && sodium_memcmp(it.data(), digest.data(), digest.size()) == 0;
+        found = found || same;
+    }
+    return found;
+}
+
+} // namespace baobabswitch
--- /dev/null
+++ b/src/libbaobabswitch/operatorroutes.cpp
@@ -0,0 +1,179 @@
+#include "operatorroutes.h"
+
+#include "adminconfig.h"
+#include "configschema.h"
+#include "consolepage.h"
+#include "log.h"
+#include "looprequest.h"
+#include "operatorauth.h"
+#include "peermessages.h"
+#include "platformclient.h"
+
+#include <httplib.h>
+
+#include <map>
+#include <mutex>
+#include <semaphore>
+
+namespace baobabswitch {
+
+namespace {
+
+/// Requests that may wait for the platform at the same time. It is less than the server's threads, so that
+/// /health and /metrics answer while the platform is silent.
+constexpr std::ptrdiff_t store_requests = 4;
+/// Readers that ask within this time share one read, so that open consoles don't load the platform.
+constexpr milliseconds cache_lifetime{1000};
+constexpr std::size_t default_audit_entries = 50;
+constexpr std::size_t max_audit_entries = 1000;
+/// A document of 1 MB with its wrapping.
+constexpr std::size_t max_body_bytes = 2 * 1024 * 1024;
+
+constexpr auto json_type = "application/json";
+constexpr auto page_policy =
+    "default-src 'none'; script-src 'unsafe-inline'; style-src 'unsafe-inline'; "
+    "connect-src 'self'; frame-ancestors 'none'; base-uri 'none'; form-action 'none'";
+
+/// Access of the operators' requests to the platform.
+class operator_store {
+public:
+    explicit operator_store(const std::optional<endpoint>& platform)
+        : store_(platform ? make_platform_client(*platform) : nullptr) {}
+
+    /// Asks the platform, unless it is unknown or too many requests wait for it already.
+    http_response ask(const std::function<http_response(object_store&)>& question) {
+        if (!store_) {
+            return json_response(
+                503, error_body({error_kind::store_unavailable, "this node's settings name no platform",
+                                 "set \"platform\" in the node's settings"}));
+        }
+        if (!free_.try_acquire()) {
+            return json_response(
+                503, error_body({error_kind::overloaded, "too many operators' requests wait for the platform",
+                                 "try again in a moment"}));
+        }
+        auto answer = question(*store_);
+        free_.release();
+        return answer;
+    }
+
+    /// Answers from the last answer under this key while that is recent.
+    http_response ask_cached(const std::string& key,
+                             const std::function<http_response(object_store&)>& question) {
+        {
+            const std::lock_guard lock{mutex_};
+            const auto found = cache_.find(key);
+            if (found != cache_.end() && clock::now() - found->second.at < cache_lifetime) {
+                return found->second.answer;
+            }
+        }
+        auto answer = ask(question);
+        const std::lock_guard lock{mutex_};
+        cache_[key] = {clock::now(), answer};
+        return answer;
+    }
+
+    /// Forgets answers from before a change.
+    void changed() {
+        const std::lock_guard lock{mutex_};
+        cache_.clear();
+    }
+
+private:
+    struct cached {
+        time_point at;
+        http_response answer;
+    };
+
+    std::unique_ptr<object_store> store_;
+    std::counting_semaphore<store_requests> free_{store_requests};
+    std::mutex mutex_;
+    std::map<std::string, cached> cache_;
+};
+
+void send(httplib::Response& response, const http_response& answer) {
+    response.status = static_cast<int>(answer.status);
+    response.set_content(answer.body, json_type);
+}
+
+/// Refuses a request without a listed token and reports whether it has one.
+bool authorized(const node_state& node, const httplib::Request& request, httplib::Response& response) {
+    if (is_operator(node.settings.operator_tokens, request.get_header_value("Authorization"))) {
+        return true;
+    }
+    node.metrics.count_event(error_name(error_kind::unauthorized));
+    response.set_header("WWW-Authenticate", "Bearer");
+    send(response,
+         json_response(401, error_body({error_kind::unauthorized, "the operator's token is not valid",
+                                        "send Authorization: Bearer TOKEN; the token's digest has to be "
+                                        "in security.operator_tokens of the node's settings"})));
+    return false;
+}
+
+std::uint64_t version_here(const node_state& node) {
+    const auto version = ask_loop<std::uint64_t>(node.loop, [&node] { return node.config->version; });
+    return version.value_or(0);
+}
+
+void add_config_routes(httplib::Server& server, node_state& node,
+                       const std::shared_ptr<operator_store>& store) {
+    server.Get("/v1/config", [&node, store](const httplib::Request&, httplib::Response& response) {
+        send(response, store->ask_cached("config", [&](object_store& it) {
+            return answer_get_config(it, version_here(node));
+        }));
+    });
+    server.Put("/v1/config", [&node, store](const httplib::Request& request, httplib::Response& response) {
+        if (!authorized(node, request, response)) {
+            return;
+        }
+        const auto answer = store->ask([&](object_store& it) {
+            return answer_put_config(it, request.body, version_here(node), std::chrono::system_clock::now());
+        });
+        store->changed();
+        log(log_level::info, "operators", "change of the configuration answered",
+            {{"status", std::to_string(answer.status)}, {"from", request.remote_addr}});
+        send(response, answer);
+    });
+    server.Post("/v1/changes", [store](const httplib::Request& request, httplib::Response& response) {
+        send(response, store->ask([&](object_store& it) { return answer_changes(it, request.body); }));
+    });
+    server.Get("/v1/audit", [store](const httplib::Request& request, httplib::Response& response) {
+        const auto limit = std::min<std::uint64_t>(
+            parse_number(request.get_param_value("limit")).value_or(default_audit_entries),
+            max_audit_entries);
+        send(response, store->ask_cached("audit" + std::to_string(limit),
+                                         [&](object_store& it) { return answer_audit(it, limit); }));
+    });
+    server.Get("/v1/rollout", [store](const httplib::Request&, httplib::Response& response) {
+        send(response, store->ask_cached("rollout", [](object_store& it) {
+            return answer_rollout(it, std::chrono::system_clock::now());
+        }));
+    });
+}
+
+} // namespace
+
+void add_operator_routes(httplib::Server& server, node_state& node, std::function<void()> drain) {
+    server.set_payload_max_length(max_body_bytes);
+    add_config_routes(server, node, std::make_shared<operator_store>(node.settings.platform));
+    server.Get("/v1/schema", [](const httplib::Request&, httplib::Response& response) {
+        response.set_content(schema_to_json().dump(), json_type);
+    });
+    server.Get("/console", [](const httplib::Request&, httplib::Response& response) {
+        response.set_header("Content-Security-Policy", page_policy);
+        response.set_header("Cache-Control", "no-store");
+        response.set_content(console_page.data(), console_page.size(), "text/html; charset=utf-8");
+    });
+    server.Post("/v1/drain", [&node, drain = std::move(drain)](const httplib::Request& request,
+                                                               httplib::Response& response) {
+        if (!authorized(node, request, response)) {
+            return;
+        }
+        log(log_level::info, "operators", "drain requested", {{"from", request.remote_addr}});
+        node.loop.post(drain);
+        send(response,
+             json_response(200, nlohmann::json{{"node", node.settings.node_id}, {"draining", true}}.dump()));
+    });
+}
+
+} // namespace baobabswitch
--- a/src/libbaobabswitch/storebudget.h
+++ b/src/libbaobabswitch/storebudget.h
@@ -27,7 +27,7 @@
 void reset(backoff& state);
 
 /// Calls a second that a failure domain may make to the platform (design §7.2).
-inline constexpr double domain_writes_per_second = 10;
+inline constexpr double domain_writes_per_second = 40;
 inline constexpr double domain_reads_per_second = 50;
 /// Of these, what the domain's watchers may use; the rest is divided by the domain's live members. A
 /// watcher's status write each 2 s is more than a member's share in a domain of over 20 members.
--- /dev/null
+++ b/tests/integration/test_operators.cpp
@@ -0,0 +1,184 @@
+#include "configstore.h"
+#include "mac.h"
+#include "platformclient.h"
+#include "standinplatform.h"
+
+#include <catch2/catch.hpp>
+#include <httplib.h>
+
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+using namespace baobabswitch;
+using Catch::Contains;
+using json = nlohmann::json;
+
+namespace {
+
+constexpr auto token = "a token of the operators";
+
+/// A node process; the destructor stops it.
+class node_process {
+public:
+    explicit node_process(const endpoint& platform)
+        : admin{"127.0.0.1", free_port()},
+          file_(std::filesystem::temp_directory_path() / ("node-" + std::to_string(admin.port) + ".toml")) {
+        std::ofstream{file_} << "node = \"n1\"\ndomain = \"d\"\nlisten = \"127.0.0.1:" << free_port()
+                             << "\"\nadmin = \"" << to_string(admin) << "\"\nplatform = \""
+                             << to_string(platform) << "\"\n[security]\nactive = \"k\"\noperator_tokens = [\""
+                             << token_digest(token) << "\"]\n[[security.keys]]\nid = \"k\"\nsecret = \""
+                             << std::string(64, '1') << "\"\n";
+        const auto started =
+            start_process({program("baobabswitchd"), "--settings", file_.string()}, file_.string() + ".log");
+        REQUIRE(started);
+        process = started.value();
+        for (int n = 0; n < 250 && !client().Get("/health/live"); ++n) {
+            std::this_thread::sleep_for(milliseconds{20});
+        }
+    }
+    ~node_process() {
+        stop_process(process, 5);
+        std::error_code ec;
+        std::filesystem::remove(file_, ec);
+        std::filesystem::remove(file_.string() + ".log", ec);
+    }
+    node_process(const node_process&) = delete;
+    node_process& operator=(const node_process&) = delete;
+    node_process(node_process&&) = delete;
+    node_process& operator=(node_process&&) = delete;
+
+    httplib::Client client() const {
+        httplib::Client it{admin.host, admin.port};
+        it.set_read_timeout(std::chrono::seconds{30});
+        return it;
+    }
+    std::pair<int, json> put(const json& body, const std::string& with_token = token) const {
+        auto it = client();
+        it.set_bearer_token_auth(with_token);
+        const auto answer = it.Put("/v1/config", body.dump(), "application/json");
+        REQUIRE(answer);
+        return {answer->status, json::parse(answer->body)};
+    }
+    json get(const std::string& path) const {
+        const auto answer = client().Get(path);
+        REQUIRE(answer);
+        return json::parse(answer->body);
+    }
+
+    endpoint admin;
+    pid_t process = 0;
+
+private:
+    std::filesystem::path file_;
+};
+
+json change(int importance, std::uint64_t base, const std::string& write_id) {
+    return {{"document",
+             {{"schema", 1},
+              {"services", {{"s", {{"slots", 1}, {"connections", 1}, {"queue", 1}}}}},
+              {"kinds",
+               {{"k",
+                 {{"service", "s"}, {"importance", importance}, {"timeout_ms", 5}, {"idempotent", true}}}}}}},
+            {"author", "ana"},
+            {"reason", "trial"},
+            {"base_version", base},
+            {"write_id", write_id}};
+}
+
+} // namespace
+
+// Guards against a console that shows other fields than validation knows, or changes without a valid token.
+TEST_CASE("a node serves the console, the schema and changes by operators", "[operators]") {
+    const platform_process platform;
+    const node_process node{platform.address()};
+    const auto page = node.client().Get("/console");
+    REQUIRE(page);
+    CHECK_THAT(page->body, Contains("/v1/schema") && Contains("Review the difference"));
+    CHECK_THAT(page->body, !Contains("innerHTML") && !Contains("http://") && !Contains("https://"));
+    CHECK_THAT(page->get_header_value("Content-Security-Policy"), Contains("default-src 'none'"));
+    CHECK(node.get("/v1/schema")["sections"].size() == 3);
+    CHECK(node.get("/v1/config")["version"] == 0);
+
+    CHECK(node.put(change(5, 0, "w1"), "wrong").first == 401);
+    CHECK(node.put(change(5, 0, "w1"), "").first == 401);
+    const auto accepted = node.put(change(5, 0, "w1"));
+    CHECK(accepted.first == 200);
+    CHECK(accepted.second["version"] == 1);
+    const auto invalid = node.put(change(12, 1, "w2"));
+    CHECK(invalid.first == 400);
+    CHECK_THAT(invalid.second["message"].get<std::string>(), Contains("kinds.k.importance"));
+    const auto conflict = node.put(change(6, 0, "w3"));
+    CHECK(conflict.first == 409);
+    CHECK_THAT(conflict.second["message"].get<std::string>(), Contains("ana was first: version 1"));
+    CHECK(node.put({{"document", 1}}).first == 400);
+    CHECK(node.get("/v1/config")["document"]["kinds"]["k"]["importance"] == 5);
+    CHECK(node.get("/v1/audit")["changes"].size() == 1);
+    CHECK(node.get("/v1/rollout")["accepted"]["version"] == 1);
+
+    const auto changes = node.client().Post("/v1/changes", change(7, 1, "").dump(), "application/json");
+    REQUIRE(changes);
+    CHECK_THAT(changes->body, Contains("~ kinds.k.importance: 5 -> 7"));
+}
+
+// Guards against a lost answer that the console takes for a failure, and against a node that hangs with the
+// platform.
+TEST_CASE("a lost answer is unknown and is settled by repeating the change", "[operators]") {
+    const platform_process platform;
+    const node_process node{platform.address()};
+    REQUIRE(platform.control({{"lost_answer_percent", 100}}) == 200);
+    std::thread outage{[&] {
+        std::this_thread::sleep_for(milliseconds{1000});
+        platform.control({{"outage", "refuse"}, {"lost_answer_percent", 0}});
+    }};
+    const auto unknown = node.put(change(5, 0, "w1"));
+    outage.join();
+    CHECK(unknown.first == 504);
+    CHECK(unknown.second["error"] == "outcome-unknown");
+    auto settle = change(5, 0, "w1");
+    settle["settle"] = true;
+    CHECK(node.put(settle).first == 504);
+    CHECK(node.put(change(6, 0, "w2")).first == 503);
+    REQUIRE(platform.control({{"outage", "none"}}) == 200);
+    const auto settled = node.put(settle);
+    CHECK(settled.first == 200);
+    CHECK(settled.second["version"] == 1);
+    CHECK(read_audit(*make_platform_client(platform.address()), 10).value().size() == 1);
+
+    REQUIRE(platform.control({{"outage", "silent"}}) == 200);
+    std::vector<std::thread> readers;
+    for (int n = 0; n < 12; ++n) {
+        readers.emplace_back([&] { (void)node.client().Get("/v1/audit?limit=" + std::to_string(n + 1)); });
+    }
+    std::this_thread::sleep_for(milliseconds{200});
+    const auto start = clock::now();
+    CHECK(node.client().Get("/health/live")->status == 200);
+    CHECK(clock::now() - start < std::chrono::seconds{1});
+    for (auto& it : readers) {
+        it.join();
+    }
+}
+
+// Guards against a node that anyone can stop, and a drain that doesn't end the process.
+TEST_CASE("an operator drains a node by its name", "[operators]") {
+    const platform_process platform;
+    node_process node{platform.address()};
+    const auto log =
+        (std::filesystem::temp_directory_path() / ("drain-" + std::to_string(node.admin.port))).string();
+    const auto drain = [&](const std::string& with_token) {
+        const auto file = log + ".token";
+        std::ofstream{file} << with_token << "\n";
+        const auto started = start_process({program("baobabswitchctl"), "drain", "n1", "--node",
+                                            to_string(node.admin), "--token-file", file},
+                                           log);
+        REQUIRE(started);
+        const auto code = wait_for_exit(started.value(), 20);
+        std::filesystem::remove(file);
+        return code;
+    };
+    CHECK(drain("wrong") == 8);
+    CHECK(wait_for_exit(node.process, 0.3) == -1);
+    CHECK(drain(token) == 0);
+    CHECK(wait_for_exit(node.process, 10) == 0);
+    std::filesystem::remove(log);
+}
