Report the five measures, invariants, executions and node cost from the bench

The bench printed only outcomes of one steady level. It now runs scenarios made of phases (steady, levels, crest, retry-storm, slow-ledger, slow-target, short-behind-long, rolling-stop, and all of them in one run) and writes one JSON object with the five measures, counts per kind and outcome, invariants summed over all nodes, executions per request identity and the control cost of each node. Targets record each execution in a file, which outlives a kill, and take switches at POST /control.

--- a/src/baobabswitch-bench/main.cpp
+++ b/src/baobabswitch-bench/main.cpp
@@ -1,5 +1,6 @@
 #include "deployment.h"
-#include "loadgenerator.h"
+#include "experiment.h"
+#include "scenario.h"
 
 #include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
@@ -10,6 +11,8 @@
 #include <fstream>
 #include <iostream>
 
+#include <unistd.h>
+
 using namespace baobabswitch;
 
 namespace {
@@ -19,66 +22,67 @@
     return EXIT_FAILURE;
 }
 
-nlohmann::json summarize(const std::vector<request_sample>& samples, double seconds) {
-    nlohmann::json summary;
-    std::map<std::string, std::vector<double>> latencies;
-    for (const auto& it : samples) {
-        auto& count = summary["kinds"][it.kind][it.outcome];
-        count = count.is_null() ? 1 : count.get<int>() + 1;
-        if (it.outcome == "done") {
-            latencies[it.kind].push_back(it.seconds);
-        }
-    }
-    std::size_t done = 0;
-    for (auto& [kind, values] : latencies) {
-        std::sort(values.begin(), values.end());
-        done += values.size();
-        summary["kinds"][kind]["p50_ms"] = values.at(values.size() / 2) * 1000;
-        summary["kinds"][kind]["p99_ms"] = values.at(values.size() * 99 / 100) * 1000;
-    }
-    summary["requests"] = samples.size();
-    summary["goodput_per_second"] = static_cast<double>(done) / seconds;
-    return summary;
-}
-
-int run(const cxxopts::ParseResult& args) {
+deployment_options make_deployment_options(const cxxopts::ParseResult& args) {
     deployment_options options;
     options.binaries = std::filesystem::read_symlink("/proc/self/exe").parent_path();
     options.workload_file =
         args["workloads"].as<std::string>() + "/" + args["workload"].as<std::string>() + ".json";
     options.policy = args["policy"].as<std::string>();
-    auto started = deployment::start(options);
-    if (!started) {
-        return report(started.error());
+    options.scale = args["scale"].as<double>();
+    return options;
+}
+
+scenario_options make_scenario_options(const cxxopts::ParseResult& args) {
+    return {args["demand"].as<double>(), args["seconds"].as<double>()};
+}
+
+int list_scenarios(const cxxopts::ParseResult& args) {
+    const auto load = load_workload(make_deployment_options(args).workload_file);
+    if (!load) {
+        return report(load.error());
     }
-    const auto& it = *started.value();
-    std::vector<endpoint> nodes;
-    for (const auto& vm : it.vms()) {
-        nodes.push_back(vm.listen);
+    for (const auto& it : make_scenarios(load.value(), make_scenario_options(args))) {
+        std::cout << it.name << ": " << it.purpose << " (" << total_seconds(it.phases) << " s)\n";
     }
-    const double capacity = capacity_per_second(it.load());
-    load_options load;
-    load.seed = args["seed"].as<std::uint64_t>();
-    load.seconds = args["seconds"].as<double>();
-    load.rate = [rate = capacity * args["demand"].as<double>()](double) {
-        return rate;
-    };
-    load.client_latency = milliseconds{static_cast<int>(it.load().client_latency_ms)};
-    event_loop loop;
-    load_generator generator{loop, it.load(), nodes, load};
-    generator.start([&loop] { loop.stop(); });
-    loop.run();
-    auto summary = summarize(generator.samples(), load.seconds);
-    summary["workload"] = it.load().name;
-    summary["policy"] = options.policy;
-    summary["seed"] = load.seed;
-    summary["capacity_per_second"] = capacity;
-    summary["demand"] = args["demand"].as<double>();
+    return EXIT_SUCCESS;
+}
+
+/// Writes the report to --report, or to standard output if that isn't a terminal; a terminal gets a table.
+void write_report(const cxxopts::ParseResult& args, const nlohmann::json& summary) {
+    const bool terminal = isatty(STDOUT_FILENO) != 0;
     if (args.count("report") > 0) {
         std::ofstream{args["report"].as<std::string>()} << summary.dump(2) << '\n';
-    } else {
+    } else if (!terminal && args.count("table") == 0) {
         std::cout << summary.dump(2) << '\n';
     }
+    if (terminal || args.count("table") > 0) {
+        print_report(std::cout, summary);
+    }
+}
+
+int run(const cxxopts::ParseResult& args) {
+    const auto options = make_deployment_options(args);
+    auto load = load_workload(options.workload_file);
+    if (!load) {
+        return report(load.error());
+    }
+    scale_down(load.value(), options.scale);
+    const auto scenarios = make_scenarios(load.value(), make_scenario_options(args));
+    const auto name = args["scenario"].as<std::string>();
+    const auto found =
+        std::find_if(scenarios.begin(), scenarios.end(), [&](const scenario& it) { return it.name == name; });
+    if (found == scenarios.end()) {
+        return report(
+            {error_kind::not_found, "there is no scenario \"" + name + "\"", "see --list-scenarios"});
+    }
+    auto started = deployment::start(options);
+    if (!started) {
+        return report(started.error());
+    }
+    auto summary = run_experiment(*started.value(), *found, args["seed"].as<std::uint64_t>());
+    summary["policy"] = options.policy;
+    summary["scale"] = options.scale;
+    write_report(args, summary);
     return EXIT_SUCCESS;
 }
 
@@ -93,8 +97,12 @@
         "policy", "baobabswitch, static or direct",
         cxxopts::value<std::string>()->default_value("baobabswitch"))(
         "seed", "seed of the random numbers", cxxopts::value<std::uint64_t>()->default_value("1"))(
-        "seconds", "length of the run", cxxopts::value<double>()->default_value("5"))(
-        "demand", "demand as a multiple of capacity", cxxopts::value<double>()->default_value("0.5"))(
+        "scenario", "name of a scenario", cxxopts::value<std::string>()->default_value("steady"))(
+        "list-scenarios", "print the scenarios and exit")("table", "print the table also without a terminal")(
+        "scale", "divide slots and connections by this", cxxopts::value<double>()->default_value("10"))(
+        "seconds", "length of the scenario steady", cxxopts::value<double>()->default_value("5"))(
+        "demand", "demand of the scenario steady as a multiple of capacity",
+        cxxopts::value<double>()->default_value("0.5"))(
         "report", "file for the JSON report", cxxopts::value<std::string>())("help",
                                                                              "print this help and exit");
     options.parse_positional({"command"});
@@ -104,6 +112,9 @@
             std::cout << options.help();
             return EXIT_SUCCESS;
         }
+        if (args.count("list-scenarios") > 0) {
+            return list_scenarios(args);
+        }
         return run(args);
     } catch (const cxxopts::exceptions::exception& ex) {
         std::cerr << "baobabswitch-bench: " << ex.what() << "; see --help\n";
--- /dev/null
+++ b/src/baobabswitch-bench/scenario.cpp
@@ -0,0 +1,245 @@
+#include "scenario.h"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <thread>
+
+namespace baobabswitch {
+
+namespace {
+
+constexpr double slow_factor = 5;         ///< of the target slowed in slow-target
+constexpr double slow_service_factor = 4; ///< of the service slowed in slow-ledger
+constexpr double crest_factor = 5;
+constexpr double crest_rise_seconds = 3;
+constexpr double normal_demand = 0.6;
+constexpr double surge_demand = 3;
+constexpr double stop_timeout_seconds = 10;
+/// Share of the tightest service that the most important kind may fill at the crest, so that its own demand
+/// fits with room for chance.
+constexpr double top_kind_fill = 0.8;
+constexpr double max_base_demand = 0.4;
+
+template <class Better>
+std::string best_kind(const workload& load, Better better) {
+    std::string best;
+    for (const auto& [name, it] : load.kinds) {
+        if (it.share > 0 && (best.empty() || better(it, load.kinds.at(best)))) {
+            best = name;
+        }
+    }
+    return best;
+}
+
+void add_slot_ms(const workload& load, const std::string& kind, std::map<std::string, double>& slot_ms) {
+    const auto& it = load.kinds.at(kind);
+    slot_ms[it.service] += held_ms(load, kind);
+    for (const auto& child : it.children) {
+        add_slot_ms(load, child, slot_ms);
+    }
+}
+
+/// Demand from which a rise by crest_factor still leaves room for the most important kind alone.
+double crest_base(const workload& load) {
+    const auto top = top_kind(load);
+    double shares = 0;
+    for (const auto& [name, it] : load.kinds) {
+        shares += it.share;
+    }
+    std::map<std::string, double> slot_ms;
+    add_slot_ms(load, top, slot_ms);
+    const double rate_at_one = capacity_per_second(load) * load.kinds.at(top).share / shares;
+    double base = max_base_demand;
+    for (const auto& [name, ms] : slot_ms) {
+        const auto& service = load.services.at(name);
+        const double capacity = 1000.0 * service.slots * service.servers / ms;
+        base = std::min(base, top_kind_fill * capacity / (rate_at_one * crest_factor));
+    }
+    return base;
+}
+
+std::function<void(deployment&, double)> slow_service(const std::string& service, double factor,
+                                                      std::size_t max_targets) {
+    return [=](deployment& it, double) {
+        const auto vms = it.vms_of(service);
+        for (std::size_t n = 0; n < std::min(vms.size(), max_targets); ++n) {
+            it.control_target(vms.at(n), "{\"slowdown\": " + std::to_string(factor) + "}");
+        }
+    };
+}
+
+/// Stops VMs one after another, the target first, and starts them again while time is left.
+void stop_in_turn(deployment& it, double seconds) {
+    const auto deadline = clock::now() + std::chrono::duration<double>(seconds);
+    for (std::size_t vm = 0; vm < it.vms().size() && clock::now() < deadline; ++vm) {
+        it.signal_target(vm, SIGTERM);
+        it.wait_for_target(vm, stop_timeout_seconds);
+        it.signal_node(vm, SIGTERM);
+        it.wait_for_node(vm, stop_timeout_seconds);
+        if (!it.restart_node(vm) || !it.restart_target(vm)) {
+            return;
+        }
+        it.wait_until_up(vm, stop_timeout_seconds);
+    }
+}
+
+phase steady(std::string name, phase_role role, double seconds, double demand) {
+    phase it;
+    it.name = std::move(name);
+    it.role = role;
+    it.seconds = seconds;
+    it.demand_from = it.demand_to = demand;
+    return it;
+}
+
+std::vector<phase> slow_target_phases(const workload& load) {
+    const auto service = load.kinds.at(main_kind(load)).service;
+    auto slowed = steady("one slowed target", phase_role::slowed, 6, normal_demand);
+    slowed.on_start = slow_service(service, slow_factor, 1);
+    auto restored = steady("restored", phase_role::warm_up, 2, normal_demand);
+    restored.on_start = slow_service(service, 1, 1);
+    return {steady("warm-up", phase_role::warm_up, 2, normal_demand),
+            steady("no slowed target", phase_role::reference, 5, normal_demand), slowed, restored};
+}
+
+std::vector<phase> short_behind_long_phases(const workload& load) {
+    constexpr double more = 3; ///< so that long work alone overloads its service
+    const auto slow = longest_kind(load);
+    const auto service = load.kinds.at(slow).service;
+    auto without = steady("without the long kind", phase_role::without_long, 5, normal_demand);
+    for (const auto& [name, it] : load.kinds) {
+        if (it.service == service) {
+            without.weights[name] = more;
+        }
+    }
+    auto with = without;
+    with.name = "with the long kind";
+    with.role = phase_role::with_long;
+    with.seconds = 6;
+    without.weights[slow] = 0;
+    auto drain = steady("drain", phase_role::warm_up, 2, normal_demand / 2);
+    drain.weights[slow] = 0;
+    auto warm_up = without;
+    warm_up.name = "warm-up";
+    warm_up.role = phase_role::warm_up;
+    warm_up.seconds = 1;
+    return {warm_up, without, with, drain};
+}
+
+std::vector<phase> crest_phases(const workload& load) {
+    const double base = crest_base(load);
+    auto rise = steady("rise", phase_role::crest, crest_rise_seconds, base);
+    rise.demand_to = base * crest_factor;
+    return {steady("before the crest", phase_role::warm_up, 3, base), rise,
+            steady("crest", phase_role::crest, 4, base * crest_factor),
+            steady("after the crest", phase_role::warm_up, 3, base)};
+}
+
+std::vector<phase> surge_phases(double before) {
+    auto surge = steady("surge", phase_role::surge, 4, surge_demand);
+    surge.clients = hard_retries;
+    return {steady("warm-up", phase_role::warm_up, 1, before),
+            steady("before the surge", phase_role::reference, 4, before), surge,
+            steady("after the surge", phase_role::after_surge, 9, before)};
+}
+
+std::vector<phase> slow_ledger_phases(const workload& load) {
+    constexpr std::size_t all = 1000;
+    auto phases = surge_phases(normal_demand);
+    phases.at(2).on_start = slow_service(load.slow_service, slow_service_factor, all);
+    phases.at(3).on_start = slow_service(load.slow_service, 1, all);
+    return phases;
+}
+
+std::vector<phase> rolling_stop_phases() {
+    auto stops = steady("stops in turn", phase_role::disturbed, 20, 0.5);
+    stops.on_start = stop_in_turn;
+    return {steady("before the stops", phase_role::reference, 3, 0.5), stops};
+}
+
+void append(std::vector<phase>& phases, std::vector<phase> more) {
+    std::move(more.begin(), more.end(), std::back_inserter(phases));
+}
+
+} // namespace
+
+std::string longest_kind(const workload& load) {
+    return best_kind(load, [](const auto& a, const auto& b) { return a.service_ms > b.service_ms; });
+}
+
+std::string top_kind(const workload& load) {
+    return best_kind(load, [](const auto& a, const auto& b) { return a.importance > b.importance; });
+}
+
+std::string main_kind(const workload& load) {
+    return best_kind(load, [](const auto& a, const auto& b) { return a.share > b.share; });
+}
+
+std::vector<scenario> make_scenarios(const workload& load, const scenario_options& options) {
+    std::vector<scenario> list;
+    list.push_back({"steady",
+                    "one level of demand (--demand, --seconds)",
+                    {steady("warm-up", phase_role::warm_up, 1, options.demand),
+                     steady("steady", phase_role::level, options.seconds, options.demand)}});
+    scenario levels{"levels", "0.5, 1, 2 and 5 times capacity one after the other", {}};
+    for (const double demand : {0.5, 1.0, 2.0, 5.0}) {
+        levels.phases.push_back(steady("settle", phase_role::warm_up, 2, std::min(demand, 0.3)));
+        levels.phases.push_back(steady("onset", phase_role::warm_up, 1, demand));
+        levels.phases.push_back(steady("level", phase_role::level, 5, demand));
+    }
+    list.push_back(levels);
+    list.push_back({"crest", "demand times 5 within 3 s", crest_phases(load)});
+    list.push_back(
+        {"retry-storm", "a surge of 4 s in which clients retry hard", surge_phases(normal_demand)});
+    list.push_back({"slow-ledger", "the deep service slows together with a surge and hard retries",
+                    slow_ledger_phases(load)});
+    list.push_back({"slow-target", "one target of the busiest kind's service is 5 times slower",
+                    slow_target_phases(load)});
+    list.push_back({"short-behind-long", "short kinds without and with many calls of the long kind",
+                    short_behind_long_phases(load)});
+    list.push_back({"rolling-stop", "nodes and targets are stopped by SIGTERM in turn and started again",
+                    rolling_stop_phases()});
+    scenario all{"all", "the phases of all five measures in one run", {}};
+    for (const double demand : {1.0, 2.0}) {
+        all.phases.push_back(steady("onset", phase_role::warm_up, 1, demand));
+        all.phases.push_back(steady("level", phase_role::level, 4, demand));
+        all.phases.push_back(steady("settle", phase_role::warm_up, 2, 0.3));
+    }
+    append(all.phases, short_behind_long_phases(load));
+    append(all.phases, slow_target_phases(load));
+    append(all.phases, crest_phases(load));
+    append(all.phases, surge_phases(normal_demand));
+    list.push_back(all);
+    return list;
+}
+
+double total_seconds(const std::vector<phase>& phases) {
+    double sum = 0;
+    for (const auto& it : phases) {
+        sum += it.seconds;
+    }
+    return sum;
+}
+
+const phase& phase_at(const std::vector<phase>& phases, double seconds) {
+    for (const auto& it : phases) {
+        if (seconds < it.seconds) {
+            return it;
+        }
+        seconds -= it.seconds;
+    }
+    return phases.back();
+}
+
+double demand_at(const std::vector<phase>& phases, double seconds) {
+    for (const auto& it : phases) {
+        if (seconds < it.seconds) {
+            return it.demand_from + (it.demand_to - it.demand_from) * seconds / it.seconds;
+        }
+        seconds -= it.seconds;
+    }
+    return phases.back().demand_to;
+}
+
+} // namespace baobabswitch
--- a/src/libdeployment/deployment.cpp
+++ b/src/libdeployment/deployment.cpp
@@ -23,8 +23,14 @@
 constexpr std::uint16_t target_port = 8000;
 constexpr double start_seconds = 15;
 constexpr double stop_seconds = 10;
+constexpr std::chrono::milliseconds poll_period{50};
 constexpr auto message_secret = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 
+/// Addresses of a domain's VMs begin at this multiple in the last byte, so that a prefix of 27 bits holds
+/// them.
+constexpr std::size_t domain_stride = 64;
+constexpr std::size_t max_vms_per_domain = 30;
+
 /// Addresses 127.<a>.<b>.* follow from the process id, so that deployments side by side don't clash.
 std::string address_block() {
     const auto n = static_cast<unsigned>(getpid());
@@ -83,10 +89,16 @@
         for (int n = 0; n < it.servers; ++n) {
             deployed_vm vm;
             const auto index = vms_.size();
-            vm.domain = load_.domains.at(index % load_.domains.size());
+            const auto domain = index % load_.domains.size();
+            const auto place = index / load_.domains.size();
+            if (place >= max_vms_per_domain) {
+                return error{error_kind::bad_settings, "the workload has too many servers for one machine",
+                             "start fewer"};
+            }
+            vm.domain = load_.domains.at(domain);
             vm.service = service;
             vm.node_id = service + "-" + std::to_string(n + 1);
-            const auto host = block + std::to_string(index + 1);
+            const auto host = block + std::to_string(domain * domain_stride + place + 1);
             vm.listen = {host, call_port};
             vm.admin = {host, admin_port};
             vm.target = {host, target_port};
@@ -94,29 +106,44 @@
         }
     }
     for (std::size_t n = 0; n < vms_.size(); ++n) {
-        auto& vm = vms_.at(n);
         if (const auto started = restart_node(n); !started) {
             return started.error();
         }
-        const auto target =
-            start_process({options_.binaries + "/standin-target", "--workload", options_.workload_file,
-                           "--scale", std::to_string(options_.scale), "--service", vm.service, "--listen",
-                           to_string(vm.target), "--node", to_string(vm.listen)},
-                          folder_ + "/target-" + vm.node_id + ".log");
-        if (!target) {
-            return target.error();
+        if (const auto started = restart_target(n); !started) {
+            return started.error();
         }
-        vm.target_pid = target.value();
     }
     return success();
 }
 
+std::string deployment::executions_file(const deployed_vm& vm) const {
+    return folder_ + "/" + vm.node_id + ".executions";
+}
+
+std::string deployment::log_file(const deployed_vm& vm) const {
+    return folder_ + "/" + vm.node_id + ".log";
+}
+
+result<void> deployment::restart_target(std::size_t vm) {
+    auto& it = vms_.at(vm);
+    const auto started = start_process(
+        {options_.binaries + "/standin-target", "--workload", options_.workload_file, "--scale",
+         std::to_string(options_.scale), "--service", it.service, "--listen", to_string(it.target), "--node",
+         to_string(it.listen), "--executions", executions_file(it), "--seed", std::to_string(vm + 1)},
+        folder_ + "/target-" + it.node_id + ".log");
+    if (!started) {
+        return started.error();
+    }
+    it.target_pid = started.value();
+    return success();
+}
+
 result<void> deployment::restart_node(std::size_t vm) {
     auto& it = vms_.at(vm);
     const auto file = folder_ + "/" + it.node_id + ".toml";
     write_file(file, node_settings_text(it, vms_, folder_));
-    const auto started = start_process({options_.binaries + "/baobabswitchd", "--settings", file},
-                                       folder_ + "/" + it.node_id + ".log");
+    const auto started =
+        start_process({options_.binaries + "/baobabswitchd", "--settings", file}, log_file(it));
     if (!started) {
         return started.error();
     }
@@ -145,7 +172,7 @@
                                  std::to_string(vms_.size()) + " targets",
                              "see the logs in " + folder_};
             }
-            std::this_thread::sleep_for(std::chrono::milliseconds{50});
+            std::this_thread::sleep_for(poll_period);
         }
     }
     return success();
@@ -196,4 +223,71 @@
     return status;
 }
 
+int deployment::wait_for_target(std::size_t vm, double seconds) {
+    const int status = wait_for_exit(vms_.at(vm).target_pid, seconds);
+    if (status >= 0) {
+        vms_.at(vm).target_pid = 0;
+    }
+    return status;
+}
+
+bool deployment::wait_until_up(std::size_t vm, double seconds) const {
+    const auto& own = vms_.at(vm);
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::duration<double>(seconds);
+    httplib::Client client{own.admin.host, own.admin.port};
+    while (std::chrono::steady_clock::now() < deadline) {
+        if (const auto response = client.Get("/v1/status")) {
+            const auto status = nlohmann::json::parse(response->body, nullptr, false);
+            for (const auto& it : status.value("members", nlohmann::json::array())) {
+                if (it.value("node", "") == own.node_id && it.value("state", "") == "up") {
+                    return true;
+                }
+            }
+        }
+        std::this_thread::sleep_for(poll_period);
+    }
+    return false;
+}
+
+bool deployment::control_target(std::size_t vm, const std::string& json) const {
+    const auto& target = vms_.at(vm).target;
+    httplib::Client client{target.host, target.port};
+    const auto response = client.Post("/control", json, "application/json");
+    return response && response->status == 200;
+}
+
+std::vector<std::size_t> deployment::vms_of(const std::string& service) const {
+    std::vector<std::size_t> found;
+    for (std::size_t n = 0; n < vms_.size(); ++n) {
+        if (vms_.at(n).service == service) {
+            found.push_back(n);
+        }
+    }
+    return found;
+}
+
+execution_table deployment::executions() const {
+    execution_table table;
+    for (const auto& it : vms_) {
+        read_executions(table, executions_file(it));
+    }
+    return table;
+}
+
+std::uint64_t deployment::logged_violations() const {
+    std::uint64_t count = 0;
+    for (const auto& it : vms_) {
+        std::ifstream in{log_file(it)};
+        for (std::string line; std::getline(in, line);) {
+            // The field of the violation report in baobabswitchd; it is on a line of its own in the log's
+            // JSON.
+            count += line.find("\"invariant\": \"") != std::string::npos &&
+                             line.find("\"logger\"") == std::string::npos
+                         ? 1
+                         : 0;
+        }
+    }
+    return count;
+}
+
 } // namespace baobabswitch
--- a/src/libdeployment/deployment.h
+++ b/src/libdeployment/deployment.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "errors.h"
+#include "executions.h"
 #include "httpmessage.h"
 #include "workload.h"
 
@@ -50,14 +51,29 @@
     /// Sends a signal to a VM's node or target.
     void signal_node(std::size_t vm, int signal);
     void signal_target(std::size_t vm, int signal);
-    /// Starts the node of a VM again after it has ended.
+    /// Starts the node or target of a VM again after it has ended.
     result<void> restart_node(std::size_t vm);
-    /// Waits until a node has ended and returns its exit status, or -1 after the timeout.
+    result<void> restart_target(std::size_t vm);
+    /// Waits until a node or target has ended and returns its exit status, or -1 after the timeout.
     int wait_for_node(std::size_t vm, double seconds);
+    int wait_for_target(std::size_t vm, double seconds);
+    /// Waits until the node of a VM reports its own target as up.
+    bool wait_until_up(std::size_t vm, double seconds) const;
+    /// Sets switches of a VM's target (targetswitches.h). Returns whether the target accepted them.
+    bool control_target(std::size_t vm, const std::string& json) const;
+    /// Returns the VMs of a service.
+    std::vector<std::size_t> vms_of(const std::string& service) const;
+
+    /// Returns what all targets ran since the start, also those that have ended.
+    execution_table executions() const;
+    /// Returns the number of invariant violations in the logs of all nodes, also those that have ended.
+    std::uint64_t logged_violations() const;
 
 private:
     result<void> start_processes();
     result<void> wait_until_ready();
+    std::string executions_file(const deployed_vm& vm) const;
+    std::string log_file(const deployed_vm& vm) const;
 
     deployment_options options_;
     workload load_;
--- /dev/null
+++ b/src/libdeployment/executions.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "workload.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace baobabswitch {
+
+/// How often one kind ran for one request identity, over all targets.
+struct execution_count {
+    std::uint64_t runs = 0;  ///< executions started
+    std::uint64_t calls = 0; ///< child calls that targets issued for it
+};
+
+/// Executions by request identity and kind.
+using execution_table = std::map<std::string, std::map<std::string, execution_count>>;
+
+/// Adds the lines "run REQUEST KIND" and "child REQUEST KIND" that a stand-in target wrote.
+void read_executions(execution_table& table, const std::string& file_name);
+
+/// What the executions of a run prove about retries and at-most-once.
+struct execution_summary {
+    std::uint64_t runs = 0;
+    std::uint64_t distinct_calls = 0;
+    std::uint64_t retries = 0; ///< executions minus distinct calls
+    std::uint64_t max_retries_per_request = 0;
+    std::uint64_t non_idempotent_repeats = 0; ///< executions of non-idempotent calls beyond the first
+};
+
+execution_summary summarize(const execution_table& table, const workload& load);
+
+} // namespace baobabswitch
--- /dev/null
+++ b/src/libdeployment/nodeprobe.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "deployment.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace baobabswitch {
+
+/// What a running node tells about itself at one moment.
+struct node_reading {
+    bool reachable = false;
+    double cpu_seconds = 0; ///< user and system time of the process
+    double resident_mb = 0;
+    double control_bytes = 0;
+    std::map<std::string, std::uint64_t> checked;  ///< by invariant
+    std::map<std::string, std::uint64_t> violated; ///< by invariant
+};
+
+/// Reads /metrics of a node and its process's entries in /proc.
+node_reading read_node(const deployed_vm& vm);
+
+/// Parses samples of the Prometheus text format: "name{label="value"} number" gives {name, value, number}.
+struct metric_sample {
+    std::string name;
+    std::string label; ///< value of the first label
+    double value = 0;
+};
+std::vector<metric_sample> parse_metrics(const std::string& text);
+
+} // namespace baobabswitch
--- a/src/standin-target/main.cpp
+++ b/src/standin-target/main.cpp
@@ -36,6 +36,8 @@
     }
     options.slots = service->second.slots;
     options.connections = service->second.connections;
+    options.executions_file = args["executions"].as<std::string>();
+    options.seed = args["seed"].as<std::uint64_t>();
     event_loop loop;
     auto target = standin_target::create(loop, std::move(load.value()), options);
     if (!target) {
@@ -55,8 +57,11 @@
         "service", "service of the workload", cxxopts::value<std::string>())("listen", "address to listen on",
                                                                              cxxopts::value<std::string>())(
         "node", "address of the node on this VM", cxxopts::value<std::string>())(
-        "scale", "divide slots and connections by this",
-        cxxopts::value<double>()->default_value("1"))("help", "print this help and exit");
+        "scale", "divide slots and connections by this", cxxopts::value<double>()->default_value("1"))(
+        "executions", "file that gets a line for each execution",
+        cxxopts::value<std::string>()->default_value(""))(
+        "seed", "seed of the random numbers",
+        cxxopts::value<std::uint64_t>()->default_value("1"))("help", "print this help and exit");
     try {
         const auto args = options.parse(argc, argv);
         if (args.count("help") > 0) {
--- a/src/standin-target/target.cpp
+++ b/src/standin-target/target.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <thread>
 
 namespace baobabswitch {
 
@@ -12,6 +13,13 @@
 constexpr milliseconds announce_timeout{500};
 constexpr milliseconds drain_poll{50};
 
+/// Answers a call that was not started.
+void shed(http_exchange& exchange, std::string body) {
+    auto answer = json_response(503, std::move(body));
+    answer.headers.emplace_back("Baobab-Not-Run", "1");
+    exchange.respond(std::move(answer));
+}
+
 } // namespace
 
 struct standin_target::running_call {
@@ -49,7 +57,11 @@
     : loop_(loop),
       load_(std::move(load)),
       options_(std::move(options)),
-      node_(loop, {}) {
+      node_(loop, {}),
+      rng_(options_.seed) {
+    if (!options_.executions_file.empty()) {
+        executions_file_.open(options_.executions_file, std::ios::app);
+    }
     node_.limit_connections(options_.node, static_cast<std::size_t>(options_.connections));
 }
 
@@ -60,8 +72,9 @@
     } else if (path.starts_with("/cancel/")) {
         cancel(std::string{path.substr(std::string_view{"/cancel/"}.size())}, *exchange);
     } else if (path == "/load") {
-        exchange->respond(
-            json_response(200, nlohmann::json{{"running", running_}, {"queued", queue_.size()}}.dump()));
+        exchange->respond(json_response(200, load_report()));
+    } else if (path == "/control") {
+        control(request, *exchange);
     } else {
         handle_call(request, exchange);
     }
@@ -80,15 +93,65 @@
         exchange->respond(json_response(400, R"({"error":"unknown kind"})"));
         return;
     }
+    if (std::bernoulli_distribution{switches_.shed}(rng_)) {
+        shed(*exchange, R"({"error":"shed"})");
+        return;
+    }
     calls_[call->id] = call;
     queue_.push_back(call);
     start_next();
 }
 
+void standin_target::control(const http_request& request, http_exchange& exchange) {
+    const auto changed = apply_switches(switches_, request.body);
+    if (!changed) {
+        exchange.respond(json_response(400, nlohmann::json{{"error", describe(changed.error())}}.dump()));
+        return;
+    }
+    exchange.respond(json_response(200, "{}"));
+    if (switches_.freeze_ms > 0) {
+        const milliseconds pause{std::exchange(switches_.freeze_ms, 0)};
+        // The answer goes out before the process stops.
+        loop_.schedule(milliseconds{1}, [pause] { std::this_thread::sleep_for(pause); });
+    }
+}
+
+std::string standin_target::load_report() const {
+    if (switches_.misleading_load) {
+        return R"({"running":0,"queued":0})";
+    }
+    return nlohmann::json{{"running", running_}, {"queued", queue_.size()}}.dump();
+}
+
+duration standin_target::service_time(const std::string& kind) const {
+    double factor = switches_.slowdown;
+    const auto age = std::chrono::duration<double, std::milli>(clock::now() - started_).count();
+    if (age < switches_.cold_start_ms) {
+        // Falls in a straight line from cold_factor to 1.
+        factor *= 1 + (switches_.cold_factor - 1) * (1 - age / switches_.cold_start_ms);
+    }
+    const std::chrono::duration<double, std::milli> time{load_.kinds.at(kind).service_ms * factor};
+    return std::chrono::duration_cast<duration>(time);
+}
+
+void standin_target::record(std::string_view event, const std::string& request, const std::string& kind) {
+    if (executions_file_.is_open()) {
+        // Flushed at once, so that the count outlives a kill of this process.
+        executions_file_ << event << ' ' << request << ' ' << kind
+                         << std::endl; // NOLINT(performance-avoid-endl)
+    }
+}
+
 void standin_target::start_next() {
     while (running_ < options_.slots && !queue_.empty()) {
         const auto call = queue_.front();
-        queue_.erase(queue_.begin());
+        queue_.pop_front();
+        if (call->deadline <= clock::now()) {
+            call->ended = true;
+            calls_.erase(call->id);
+            shed(*call->exchange, R"({"error":"the deadline passed in the queue"})");
+            continue;
+        }
         run(call);
     }
 }
@@ -97,9 +160,8 @@
     ++running_;
     call->started = true;
     ++executions_[call->request + " " + call->kind];
-    const auto time = std::chrono::duration<double, std::milli>(load_.kinds.at(call->kind).service_ms);
-    call->timer =
-        loop_.schedule(std::chrono::duration_cast<duration>(time), [this, call] { call_next_child(call); });
+    record("run", call->request, call->kind);
+    call->timer = loop_.schedule(service_time(call->kind), [this, call] { call_next_child(call); });
 }
 
 void standin_target::call_next_child(const std::shared_ptr<running_call>& call) {
@@ -119,6 +181,7 @@
         finish(call, json_response(504, R"({"error":"timeout"})"));
         return;
     }
+    record("child", call->request, child);
     http_request request{"POST",
                          "/v1/call/" + load_.kinds.at(child).service + "/" + child,
                          {{"Baobab-Kind", child},
@@ -153,7 +216,7 @@
 
 void standin_target::cancel(const std::string& id, http_exchange& exchange) {
     const auto it = calls_.find(id);
-    if (it == calls_.end()) {
+    if (it == calls_.end() || switches_.ignore_cancel) {
         exchange.respond(json_response(409, R"({"result":"too-late"})"));
         return;
     }
--- a/src/standin-target/target.h
+++ b/src/standin-target/target.h
@@ -3,10 +3,14 @@
 #include "eventloop.h"
 #include "httpclient.h"
 #include "httpserver.h"
+#include "targetswitches.h"
 #include "workload.h"
 
+#include <deque>
+#include <fstream>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <unordered_map>
 
@@ -18,9 +22,12 @@
     endpoint node; ///< the node on the same VM
     int slots = 1;
     int connections = 16;
+    std::string executions_file; ///< gets a line for each execution and each child call, see executions.h
+    std::uint64_t seed = 1;
 };
 
-/// A back end for tests: a number of slots, a service time per kind, and child calls through its node.
+/// A back end for tests: a number of slots, a service time per kind, and child calls through its node. Its
+/// queue has no bound. POST /control sets the switches of targetswitches.h.
 class standin_target {
 public:
     static result<std::unique_ptr<standin_target>> create(event_loop& loop, workload load,
@@ -40,6 +47,10 @@
     void call_next_child(const std::shared_ptr<running_call>& call);
     void finish(const std::shared_ptr<running_call>& call, http_response response);
     void cancel(const std::string& call, http_exchange& exchange);
+    void control(const http_request& request, http_exchange& exchange);
+    std::string load_report() const;
+    duration service_time(const std::string& kind) const;
+    void record(std::string_view event, const std::string& request, const std::string& kind);
     void announce();
     void stop_when_idle();
 
@@ -49,8 +60,12 @@
     http_client node_;
     std::unique_ptr<http_server> server_;
     std::unordered_map<std::string, std::shared_ptr<running_call>> calls_;
-    std::vector<std::shared_ptr<running_call>> queue_;
+    std::deque<std::shared_ptr<running_call>> queue_;
     std::map<std::string, unsigned> executions_; ///< per request identity and kind
+    std::ofstream executions_file_;
+    target_switches switches_;
+    std::mt19937_64 rng_;
+    time_point started_ = clock::now();
     int running_ = 0;
     bool leaving_ = false;
 };
