--- a/src/baobabswitch-bench/main.cpp
+++ b/src/baobabswitch-bench/main.cpp
@@ -29,6 +29,9 @@
         args["workloads"].as<std::string>() + "/" + args["workload"].as<std::string>() + ".json";
     options.policy = args["policy"].as<std::string>();
     options.scale = args["scale"].as<double>();
+    options.proxied = args.count("proxied") > 0;
+    options.platform = args.count("platform") > 0;
+    options.seed = args["seed"].as<std::uint64_t>();
     return options;
 }
 
@@ -98,8 +101,10 @@
         cxxopts::value<std::string>()->default_value("baobabswitch"))(
         "seed", "seed of the random numbers", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "scenario", "name of a scenario", cxxopts::value<std::string>()->default_value("steady"))(
-        "list-scenarios", "print the scenarios and exit")("table", "print the table also without a terminal")(
-        "scale", "divide slots and connections by this", cxxopts::value<double>()->default_value("10"))(
+        "proxied", "put fault-proxy between the nodes, with the workload's latency between domains")(
+        "platform", "start standin-platform")("list-scenarios", "print the scenarios and exit")(
+        "table", "print the table also without a terminal")("scale", "divide slots and connections by this",
+                                                            cxxopts::value<double>()->default_value("10"))(
         "seconds", "length of the scenario steady", cxxopts::value<double>()->default_value("5"))(
         "demand", "demand of the scenario steady as a multiple of capacity",
         cxxopts::value<double>()->default_value("0.5"))(
--- a/src/libdeployment/deployment.cpp
+++ b/src/libdeployment/deployment.cpp
@@ -5,11 +5,13 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <thread>
 
 #include <unistd.h>
@@ -30,6 +32,11 @@
 /// them.
 constexpr std::size_t domain_stride = 64;
 constexpr std::size_t max_vms_per_domain = 30;
+constexpr std::size_t proxy_offset = 32; ///< from a VM's address to the proxy's address for it
+constexpr auto platform_host = "254";
+constexpr auto proxy_host = "253";
+constexpr std::uint16_t platform_port = 7300;
+constexpr std::uint16_t proxy_port = 7500;
 
 /// Addresses 127.<a>.<b>.* follow from the process id, so that deployments side by side don't clash.
 std::string address_block() {
@@ -42,16 +49,19 @@
 }
 
 std::string node_settings_text(const deployed_vm& vm, const std::vector<deployed_vm>& vms,
-                               const std::string& folder) {
+                               const endpoint& platform, const std::string& folder) {
     std::string seeds;
+    std::set<std::string> domains;
     for (const auto& it : vms) {
-        if (seeds.find(it.domain) == std::string::npos) {
-            seeds += (seeds.empty() ? "\"" : ", \"") + to_string(it.listen) + "\"";
+        if (domains.insert(it.domain).second) {
+            seeds += (seeds.empty() ? "\"" : ", \"") + to_string(it.advertise) + "\"";
         }
     }
+    const auto platform_line = platform.port == 0 ? "" : "platform = \"" + to_string(platform) + "\"\n";
     return "node = \"" + vm.node_id + "\"\ndomain = \"" + vm.domain + "\"\nlisten = \"" +
-           to_string(vm.listen) + "\"\nadmin = \"" + to_string(vm.admin) + "\"\nsource_host = \"" +
-           vm.listen.host + "\"\nseeds = [" + seeds + "]\nlog = \"warning\"\ninitial_document = \"" + folder +
+           to_string(vm.listen) + "\"\nadvertise = \"" + to_string(vm.advertise) + "\"\n" + platform_line +
+           "admin = \"" + to_string(vm.admin) + "\"\nsource_host = \"" + vm.listen.host + "\"\nseeds = [" +
+           seeds + "]\nlog = \"warning\"\ninitial_document = \"" + folder +
            "/document.json\"\n\n[security]\nactive = \"k1\"\n\n" +
            "[[security.keys]]\nid = \"k1\"\nsecret = \"" + message_secret + "\"\n";
 }
@@ -84,7 +94,7 @@
     }
     folder_ = name;
     write_file(folder_ + "/document.json", make_document(load_, options_.policy));
-    const auto block = address_block();
+    block_ = address_block();
     for (const auto& [service, it] : load_.services) {
         for (int n = 0; n < it.servers; ++n) {
             deployed_vm vm;
@@ -98,13 +108,26 @@
             vm.domain = load_.domains.at(domain);
             vm.service = service;
             vm.node_id = service + "-" + std::to_string(n + 1);
-            const auto host = block + std::to_string(domain * domain_stride + place + 1);
+            const auto host = block_ + std::to_string(domain * domain_stride + place + 1);
             vm.listen = {host, call_port};
             vm.admin = {host, admin_port};
             vm.target = {host, target_port};
+            const auto proxy = block_ + std::to_string(domain * domain_stride + proxy_offset + place + 1);
+            vm.advertise = {options_.proxied ? proxy : host, call_port};
+            vm.target_advertise = {options_.proxied ? proxy : host, target_port};
             vms_.push_back(vm);
         }
     }
+    if (options_.platform) {
+        if (const auto started = start_platform(); !started) {
+            return started.error();
+        }
+    }
+    if (options_.proxied) {
+        if (const auto started = start_proxy(); !started) {
+            return started.error();
+        }
+    }
     for (std::size_t n = 0; n < vms_.size(); ++n) {
         if (const auto started = restart_node(n); !started) {
             return started.error();
@@ -116,6 +139,109 @@
     return success();
 }
 
+result<void> deployment::start_platform() {
+    platform_ = {block_ + platform_host, platform_port};
+    platform_advertise_ = options_.proxied ? endpoint{block_ + proxy_host, platform_port} : platform_;
+    const auto started =
+        start_process({options_.binaries + "/standin-platform", "--listen", to_string(platform_)},
+                      folder_ + "/platform.log");
+    if (!started) {
+        return started.error();
+    }
+    platform_pid_ = started.value();
+    return success();
+}
+
+result<void> deployment::start_proxy() {
+    proxy_control_ = {block_ + proxy_host, proxy_port};
+    std::vector<std::string> arguments{options_.binaries + "/fault-proxy", "--control",
+                                       to_string(proxy_control_), "--seed", std::to_string(options_.seed)};
+    const auto forward = [&arguments](const endpoint& listen, const endpoint& to) {
+        arguments.emplace_back("--forward");
+        arguments.push_back(to_string(listen) + "=" + to_string(to));
+    };
+    for (const auto& it : vms_) {
+        forward(it.advertise, it.listen);
+        forward(it.target_advertise, it.target);
+    }
+    if (options_.platform) {
+        forward(platform_advertise_, platform_);
+    }
+    const auto started = start_process(arguments, folder_ + "/proxy.log");
+    if (!started) {
+        return started.error();
+    }
+    proxy_pid_ = started.value();
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::duration<double>(start_seconds);
+    while (!set_faults(nlohmann::json::array())) {
+        if (std::chrono::steady_clock::now() > deadline) {
+            return error{error_kind::internal, "the fault proxy doesn't answer",
+                         "see the logs in " + folder_};
+        }
+        std::this_thread::sleep_for(poll_period);
+    }
+    return success();
+}
+
+std::string deployment::prefix_of(const std::string& domain) const {
+    const auto found = std::find(load_.domains.begin(), load_.domains.end(), domain);
+    const auto n = static_cast<std::size_t>(found - load_.domains.begin());
+    return block_ + std::to_string(n * domain_stride) + "/27";
+}
+
+nlohmann::json deployment::domain_latencies() const {
+    auto rules = nlohmann::json::array();
+    for (const auto& from : load_.domains) {
+        for (const auto& to : load_.domains) {
+            if (from != to) {
+                rules.push_back({{"source", prefix_of(from)},
+                                 {"destination", prefix_of(to)},
+                                 {"delay_ms", load_.domain_latency_ms}});
+            }
+        }
+    }
+    return rules;
+}
+
+bool deployment::set_faults(const nlohmann::json& rules) const {
+    auto all = domain_latencies();
+    all.insert(all.end(), rules.begin(), rules.end());
+    httplib::Client client{proxy_control_.host, proxy_control_.port};
+    const auto response = client.Post("/control", nlohmann::json{{"rules", all}}.dump(), "application/json");
+    return response && response->status == 200;
+}
+
+nlohmann::json deployment::fault_counts() const {
+    httplib::Client client{proxy_control_.host, proxy_control_.port};
+    const auto response = client.Get("/counts");
+    return response ? nlohmann::json::parse(response->body, nullptr, false) : nlohmann::json();
+}
+
+nlohmann::json deployment::domain_cut(const std::string& domain) const {
+    auto rules = nlohmann::json::array();
+    const auto lose = [&rules](const std::string& from, const std::string& to) {
+        rules.push_back({{"source", from}, {"destination", to}, {"lose_to", true}, {"lose_back", true}});
+    };
+    for (const auto& other : load_.domains) {
+        if (other != domain) {
+            lose(prefix_of(domain), prefix_of(other));
+            lose(prefix_of(other), prefix_of(domain));
+        }
+    }
+    lose(prefix_of(domain), block_ + platform_host);
+    return rules;
+}
+
+bool deployment::control_platform(const std::string& json) const {
+    httplib::Client client{platform_.host, platform_.port};
+    const auto response = client.Post("/control", json, "application/json");
+    return response && response->status == 200;
+}
+
+const endpoint& deployment::platform_address() const {
+    return platform_;
+}
+
 std::string deployment::executions_file(const deployed_vm& vm) const {
     return folder_ + "/" + vm.node_id + ".executions";
 }
@@ -129,7 +255,8 @@
     const auto started = start_process(
         {options_.binaries + "/standin-target", "--workload", options_.workload_file, "--scale",
          std::to_string(options_.scale), "--service", it.service, "--listen", to_string(it.target), "--node",
-         to_string(it.listen), "--executions", executions_file(it), "--seed", std::to_string(vm + 1)},
+         to_string(it.listen), "--advertise", to_string(it.target_advertise), "--executions",
+         executions_file(it), "--seed", std::to_string(vm + 1)},
         folder_ + "/target-" + it.node_id + ".log");
     if (!started) {
         return started.error();
@@ -141,7 +268,7 @@
 result<void> deployment::restart_node(std::size_t vm) {
     auto& it = vms_.at(vm);
     const auto file = folder_ + "/" + it.node_id + ".toml";
-    write_file(file, node_settings_text(it, vms_, folder_));
+    write_file(file, node_settings_text(it, vms_, platform_advertise_, folder_));
     const auto started =
         start_process({options_.binaries + "/baobabswitchd", "--settings", file}, log_file(it));
     if (!started) {
@@ -183,6 +310,7 @@
         for (const auto process : {it.target_pid, it.node_pid}) {
             if (process > 0) {
                 kill(process, SIGTERM);
+                kill(process, SIGCONT);
             }
         }
     }
@@ -193,6 +321,11 @@
             }
         }
     }
+    for (const auto process : {proxy_pid_, platform_pid_}) {
+        if (process > 0) {
+            stop_process(process, stop_seconds);
+        }
+    }
     if (!folder_.empty() && std::getenv("BAOBABSWITCH_KEEP_LOGS") == nullptr) {
         std::error_code ec;
         std::filesystem::remove_all(folder_, ec);
--- a/src/libdeployment/deployment.h
+++ b/src/libdeployment/deployment.h
@@ -5,6 +5,8 @@
 #include "httpmessage.h"
 #include "workload.h"
 
+#include <nlohmann/json.hpp>
+
 #include <memory>
 #include <string>
 #include <vector>
@@ -21,6 +23,8 @@
     endpoint listen;
     endpoint admin;
     endpoint target;
+    endpoint advertise;        ///< where other nodes reach the node: its own address or the proxy's
+    endpoint target_advertise; ///< where the node reaches its target
     pid_t node_pid = 0;
     pid_t target_pid = 0;
 };
@@ -30,6 +34,11 @@
     std::string workload_file;
     std::string policy = "baobabswitch";
     double scale = 10; ///< slots are divided by this
+    /// Puts fault-proxy between nodes, before targets and before the platform, with the workload's latency
+    /// between domains.
+    bool proxied = false;
+    bool platform = false;  ///< starts standin-platform, which then holds the document
+    std::uint64_t seed = 1; ///< of the injected faults
 };
 
 /// A workload's services as real processes on addresses in 127.0.0.0/8. The destructor stops them.
@@ -64,6 +73,19 @@
     /// Returns the VMs of a service.
     std::vector<std::size_t> vms_of(const std::string& service) const;
 
+    /// Replaces the rules of the proxy (src/fault-proxy/rules.h); the latency between domains stays. Returns
+    /// whether the proxy accepted them. Needs options.proxied.
+    bool set_faults(const nlohmann::json& rules) const;
+    /// Returns how often the proxy injected each fault.
+    nlohmann::json fault_counts() const;
+    /// Returns the prefix that holds the addresses of a domain's VMs.
+    std::string prefix_of(const std::string& domain) const;
+    /// Returns rules under which messages between a domain and the others, and the platform, are lost.
+    nlohmann::json domain_cut(const std::string& domain) const;
+    /// Sets faults of the stand-in platform. Needs options.platform.
+    bool control_platform(const std::string& json) const;
+    const endpoint& platform_address() const;
+
     /// Returns what all targets ran since the start, also those that have ended.
     execution_table executions() const;
     /// Returns the number of invariant violations in the logs of all nodes, also those that have ended.
@@ -71,6 +93,9 @@
 
 private:
     result<void> start_processes();
+    result<void> start_proxy();
+    result<void> start_platform();
+    nlohmann::json domain_latencies() const;
     result<void> wait_until_ready();
     std::string executions_file(const deployed_vm& vm) const;
     std::string log_file(const deployed_vm& vm) const;
@@ -79,6 +104,12 @@
     workload load_;
     std::vector<deployed_vm> vms_;
     std::string folder_; ///< settings and logs of this deployment
+    std::string block_;  ///< first three bytes of all addresses, with the last dot
+    endpoint proxy_control_;
+    endpoint platform_;           ///< where the platform listens
+    endpoint platform_advertise_; ///< where nodes reach it
+    pid_t proxy_pid_ = 0;
+    pid_t platform_pid_ = 0;
 };
 
 } // namespace baobabswitch
--- a/src/standin-target/main.cpp
+++ b/src/standin-target/main.cpp
@@ -28,6 +28,14 @@
     target_options options;
     options.service = args["service"].as<std::string>();
     options.listen = listen.value();
+    options.advertise = listen.value();
+    if (args.count("advertise") > 0) {
+        const auto advertise = parse_endpoint(args["advertise"].as<std::string>());
+        if (!advertise) {
+            return report(advertise.error());
+        }
+        options.advertise = advertise.value();
+    }
     options.node = node.value();
     const auto service = load.value().services.find(options.service);
     if (service == load.value().services.end()) {
@@ -56,6 +64,7 @@
     options.add_options()("workload", "workload file", cxxopts::value<std::string>())(
         "service", "service of the workload", cxxopts::value<std::string>())("listen", "address to listen on",
                                                                              cxxopts::value<std::string>())(
+        "advertise", "address that the node is told, if not the same", cxxopts::value<std::string>())(
         "node", "address of the node on this VM", cxxopts::value<std::string>())(
         "scale", "divide slots and connections by this", cxxopts::value<double>()->default_value("1"))(
         "executions", "file that gets a line for each execution",
--- a/src/standin-target/target.cpp
+++ b/src/standin-target/target.cpp
@@ -236,7 +236,7 @@
 
 void standin_target::announce() {
     const nlohmann::json body{{"service", options_.service},
-                              {"address", to_string(options_.listen)},
+                              {"address", to_string(options_.advertise)},
                               {"slots", options_.slots},
                               {"connections", options_.connections},
                               {"state", leaving_ ? "leaving" : "up"}};
--- a/src/standin-target/target.h
+++ b/src/standin-target/target.h
@@ -19,7 +19,8 @@
 struct target_options {
     std::string service;
     endpoint listen;
-    endpoint node; ///< the node on the same VM
+    endpoint advertise; ///< address that the node is told
+    endpoint node;      ///< the node on the same VM
     int slots = 1;
     int connections = 16;
     std::string executions_file; ///< gets a line for each execution and each child call, see executions.h
