--- a/src/libdeployment/deployment.cpp
+++ b/src/libdeployment/deployment.cpp
@@ -5,11 +5,13 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <thread>
 
 #include <unistd.h>
@@ -23,8 +25,19 @@
 constexpr std::uint16_t target_port = 8000;
 constexpr double start_seconds = 15;
 constexpr double stop_seconds = 10;
+constexpr std::chrono::milliseconds poll_period{50};
 constexpr auto message_secret = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 
+/// Addresses of a domain's VMs begin at this multiple in the last byte, so that a prefix of 27 bits holds
+/// them.
+constexpr std::size_t domain_stride = 64;
+constexpr std::size_t max_vms_per_domain = 30;
+constexpr std::size_t proxy_offset = 32; ///< from a VM's address to the proxy's address for it
+constexpr auto platform_host = "254";
+constexpr auto proxy_host = "253";
+constexpr std::uint16_t platform_port = 7300;
+constexpr std::uint16_t proxy_port = 7500;
+
 /// Addresses 127.<a>.<b>.* follow from the process id, so that deployments side by side don't clash.
 std::string address_block() {
     const auto n = static_cast<unsigned>(getpid());
@@ -36,16 +49,19 @@
 }
 
 std::string node_settings_text(const deployed_vm& vm, const std::vector<deployed_vm>& vms,
-                               const std::string& folder) {
+                               const endpoint& platform, const std::string& folder) {
     std::string seeds;
+    std::set<std::string> domains;
     for (const auto& it : vms) {
-        if (seeds.find(it.domain) == std::string::npos) {
-            seeds += (seeds.empty() ? "\"" : ", \"") + to_string(it.listen) + "\"";
+        if (domains.insert(it.domain).second) {
+            seeds += (seeds.empty() ? "\"" : ", \"") + to_string(it.advertise) + "\"";
         }
     }
+    const auto platform_line = platform.port == 0 ? "" : "platform = \"" + to_string(platform) + "\"\n";
     return "node = \"" + vm.node_id + "\"\ndomain = \"" + vm.domain + "\"\nlisten = \"" +
-           to_string(vm.listen) + "\"\nadmin = \"" + to_string(vm.admin) + "\"\nsource_host = \"" +
-           vm.listen.host + "\"\nseeds = [" + seeds + "]\nlog = \"warning\"\ninitial_document = \"" + folder +
+           to_string(vm.listen) + "\"\nadvertise = \"" + to_string(vm.advertise) + "\"\n" + platform_line +
+           "admin = \"" + to_string(vm.admin) + "\"\nsource_host = \"" + vm.listen.host + "\"\nseeds = [" +
+           seeds + "]\nlog = \"warning\"\ninitial_document = \"" + folder +
            "/document.json\"\n\n[security]\nactive = \"k1\"\n\n" +
            "[[security.keys]]\nid = \"k1\"\nsecret = \"" + message_secret + "\"\n";
 }
@@ -78,45 +94,183 @@
     }
     folder_ = name;
     write_file(folder_ + "/document.json", make_document(load_, options_.policy));
-    const auto block = address_block();
+    block_ = address_block();
     for (const auto& [service, it] : load_.services) {
         for (int n = 0; n < it.servers; ++n) {
             deployed_vm vm;
             const auto index = vms_.size();
-            vm.domain = load_.domains.at(index % load_.domains.size());
+            const auto domain = index % load_.domains.size();
+            const auto place = index / load_.domains.size();
+            if (place >= max_vms_per_domain) {
+                return error{error_kind::bad_settings, "the workload has too many servers for one machine",
+                             "start fewer"};
+            }
+            vm.domain = load_.domains.at(domain);
             vm.service = service;
             vm.node_id = service + "-" + std::to_string(n + 1);
-            const auto host = block + std::to_string(index + 1);
+            const auto host = block_ + std::to_string(domain * domain_stride + place + 1);
             vm.listen = {host, call_port};
             vm.admin = {host, admin_port};
             vm.target = {host, target_port};
+            const auto proxy = block_ + std::to_string(domain * domain_stride + proxy_offset + place + 1);
+            vm.advertise = {options_.proxied ? proxy : host, call_port};
+            vm.target_advertise = {options_.proxied ? proxy : host, target_port};
             vms_.push_back(vm);
         }
     }
+    if (options_.platform) {
+        if (const auto started = start_platform(); !started) {
+            return started.error();
+        }
+    }
+    if (options_.proxied) {
+        if (const auto started = start_proxy(); !started) {
+            return started.error();
+        }
+    }
     for (std::size_t n = 0; n < vms_.size(); ++n) {
-        auto& vm = vms_.at(n);
         if (const auto started = restart_node(n); !started) {
             return started.error();
         }
-        const auto target =
-            start_process({options_.binaries + "/standin-target", "--workload", options_.workload_file,
-                           "--scale", std::to_string(options_.scale), "--service", vm.service, "--listen",
-                           to_string(vm.target), "--node", to_string(vm.listen)},
-                          folder_ + "/target-" + vm.node_id + ".log");
-        if (!target) {
-            return target.error();
+        if (const auto started = restart_target(n); !started) {
+            return started.error();
+        }
+    }
+    return success();
+}
+
+result<void> deployment::start_platform() {
+    platform_ = {block_ + platform_host, platform_port};
+    platform_advertise_ = options_.proxied ? endpoint{block_ + proxy_host, platform_port} : platform_;
+    const auto started =
+        start_process({options_.binaries + "/standin-platform", "--listen", to_string(platform_)},
+                      folder_ + "/platform.log");
+    if (!started) {
+        return started.error();
+    }
+    platform_pid_ = started.value();
+    return success();
+}
+
+result<void> deployment::start_proxy() {
+    proxy_control_ = {block_ + proxy_host, proxy_port};
+    std::vector<std::string> arguments{options_.binaries + "/fault-proxy", "--control",
+                                       to_string(proxy_control_), "--seed", std::to_string(options_.seed)};
+    const auto forward = [&arguments](const endpoint& listen, const endpoint& to) {
+        arguments.emplace_back("--forward");
+        arguments.push_back(to_string(listen) + "=" + to_string(to));
+    };
+    for (const auto& it : vms_) {
+        forward(it.advertise, it.listen);
+        forward(it.target_advertise, it.target);
+    }
+    if (options_.platform) {
+        forward(platform_advertise_, platform_);
+    }
+    const auto started = start_process(arguments, folder_ + "/proxy.log");
+    if (!started) {
+        return started.error();
+    }
+    proxy_pid_ = started.value();
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::duration<double>(start_seconds);
+    while (!set_faults(nlohmann::json::array())) {
+        if (std::chrono::steady_clock::now() > deadline) {
+            return error{error_kind::internal, "the fault proxy doesn't answer",
+                         "see the logs in " + folder_};
+        }
+        std::this_thread::sleep_for(poll_period);
+    }
+    return success();
+}
+
+std::string deployment::prefix_of(const std::string& domain) const {
+    const auto found = std::find(load_.domains.begin(), load_.domains.end(), domain);
+    const auto n = static_cast<std::size_t>(found - load_.domains.begin());
+    return block_ + std::to_string(n * domain_stride) + "/27";
+}
+
+nlohmann::json deployment::domain_latencies() const {
+    auto rules = nlohmann::json::array();
+    for (const auto& from : load_.domains) {
+        for (const auto& to : load_.domains) {
+            if (from != to) {
+                rules.push_back({{"source", prefix_of(from)},
+                                 {"destination", prefix_of(to)},
+                                 {"delay_ms", load_.domain_latency_ms}});
+            }
+        }
+    }
+    return rules;
+}
+
+bool deployment::set_faults(const nlohmann::json& rules) const {
+    auto all = domain_latencies();
+    all.insert(all.end(), rules.begin(), rules.end());
+    httplib::Client client{proxy_control_.host, proxy_control_.port};
+    const auto response = client.Post("/control", nlohmann::json{{"rules", all}}.dump(), "application/json");
+    return response && response->status == 200;
+}
+
+nlohmann::json deployment::fault_counts() const {
+    httplib::Client client{proxy_control_.host, proxy_control_.port};
+    const auto response = client.Get("/counts");
+    return response ? nlohmann::json::parse(response->body, nullptr, false) : nlohmann::json();
+}
+
+nlohmann::json deployment::domain_cut(const std::string& domain) const {
+    auto rules = nlohmann::json::array();
+    const auto lose = [&rules](const std::string& from, const std::string& to) {
+        rules.push_back({{"source", from}, {"destination", to}, {"lose_to", true}, {"lose_back", true}});
+    };
+    for (const auto& other : load_.domains) {
+        if (other != domain) {
+            lose(prefix_of(domain), prefix_of(other));
+            lose(prefix_of(other), prefix_of(domain));
         }
-        vm.target_pid = target.value();
     }
+    lose(prefix_of(domain), block_ + platform_host);
+    return rules;
+}
+
+bool deployment::control_platform(const std::string& json) const {
+    httplib::Client client{platform_.host, platform_.port};
+    const auto response = client.Post("/control", json, "application/json");
+    return response && response->status == 200;
+}
+
+const endpoint& deployment::platform_address() const {
+    return platform_;
+}
+
+std::string deployment::executions_file(const deployed_vm& vm) const {
+    return folder_ + "/" + vm.node_id + ".executions";
+}
+
+std::string deployment::log_file(const deployed_vm& vm) const {
+    return folder_ + "/" + vm.node_id + ".log";
+}
+
+result<void> deployment::restart_target(std::size_t vm) {
+    auto& it = vms_.at(vm);
+    const auto started = start_process(
+        {options_.binaries + "/standin-target", "--workload", options_.workload_file, "--scale",
+         std::to_string(options_.scale), "--service", it.service, "--listen", to_string(it.target), "--node",
+         to_string(it.listen), "--advertise", to_string(it.target_advertise), "--executions",
+         executions_file(it), "--seed", std::to_string(vm + 1)},
+        folder_ + "/target-" + it.node_id + ".log");
+    if (!started) {
+        return started.error();
+    }
+    it.target_pid = started.value();
     return success();
 }
 
 result<void> deployment::restart_node(std::size_t vm) {
     auto& it = vms_.at(vm);
     const auto file = folder_ + "/" + it.node_id + ".toml";
-    write_file(file, node_settings_text(it, vms_, folder_));
-    const auto started = start_process({options_.binaries + "/baobabswitchd", "--settings", file},
-                                       folder_ + "/" + it.node_id + ".log");
+    write_file(file, node_settings_text(it, vms_, platform_advertise_, folder_));
+    const auto started =
+        start_process({options_.binaries + "/baobabswitchd", "--settings", file}, log_file(it));
     if (!started) {
         return started.error();
     }
@@ -145,7 +299,7 @@
                                  std::to_string(vms_.size()) + " targets",
                              "see the logs in " + folder_};
             }
-            std::this_thread::sleep_for(std::chrono::milliseconds{50});
+            std::this_thread::sleep_for(poll_period);
         }
     }
     return success();
@@ -156,6 +310,7 @@
         for (const auto process : {it.target_pid, it.node_pid}) {
             if (process > 0) {
                 kill(process, SIGTERM);
+                kill(process, SIGCONT);
             }
         }
     }
@@ -166,6 +321,11 @@
             }
         }
     }
+    for (const auto process : {proxy_pid_, platform_pid_}) {
+        if (process > 0) {
+            stop_process(process, stop_seconds);
+        }
+    }
     if (!folder_.empty() && std::getenv("BAOBABSWITCH_KEEP_LOGS") == nullptr) {
         std::error_code ec;
         std::filesystem::remove_all(folder_, ec);
@@ -196,4 +356,71 @@
     return status;
 }
 
+int deployment::wait_for_target(std::size_t vm, double seconds) {
+    const int status = wait_for_exit(vms_.at(vm).target_pid, seconds);
+    if (status >= 0) {
+        vms_.at(vm).target_pid = 0;
+    }
+    return status;
+}
+
+bool deployment::wait_until_up(std::size_t vm, double seconds) const {
+    const auto& own = vms_.at(vm);
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::duration<double>(seconds);
+    httplib::Client client{own.admin.host, own.admin.port};
+    while (std::chrono::steady_clock::now() < deadline) {
+        if (const auto response = client.Get("/v1/status")) {
+            const auto status = nlohmann::json::parse(response->body, nullptr, false);
+            for (const auto& it : status.value("members", nlohmann::json::array())) {
+                if (it.value("node", "") == own.node_id && it.value("state", "") == "up") {
+                    return true;
+                }
+            }
+        }
+        std::this_thread::sleep_for(poll_period);
+    }
+    return false;
+}
+
+bool deployment::control_target(std::size_t vm, const std::string& json) const {
+    const auto& target = vms_.at(vm).target;
+    httplib::Client client{target.host, target.port};
+    const auto response = client.Post("/control", json, "application/json");
+    return response && response->status == 200;
+}
+
+std::vector<std::size_t> deployment::vms_of(const std::string& service) const {
+    std::vector<std::size_t> found;
+    for (std::size_t n = 0; n < vms_.size(); ++n) {
+        if (vms_.at(n).service == service) {
+            found.push_back(n);
+        }
+    }
+    return found;
+}
+
+execution_table deployment::executions() const {
+    execution_table table;
+    for (const auto& it : vms_) {
+        read_executions(table, executions_file(it));
+    }
+    return table;
+}
+
+std::uint64_t deployment::logged_violations() const {
+    std::uint64_t count = 0;
+    for (const auto& it : vms_) {
+        std::ifstream in{log_file(it)};
+        for (std::string line; std::getline(in, line);) {
+            // The field of the violation report in baobabswitchd; it is on a line of its own in the log's
+            // JSON.
+            count += line.find("\"invariant\": \"") != std::string::npos &&
+                             line.find("\"logger\"") == std::string::npos
+                         ? 1
+                         : 0;
+        }
+    }
+    return count;
+}
+
 } // namespace baobabswitch
--- a/src/libdeployment/deployment.h
+++ b/src/libdeployment/deployment.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "errors.h"
+#include "executions.h"
 #include "httpmessage.h"
 #include "workload.h"
 
+#include <nlohmann/json.hpp>
+
 #include <memory>
 #include <string>
 #include <vector>
@@ -20,6 +23,8 @@
     endpoint listen;
     endpoint admin;
     endpoint target;
+    endpoint advertise;        ///< where other nodes reach the node: its own address or the proxy's
+    endpoint target_advertise; ///< where the node reaches its target
     pid_t node_pid = 0;
     pid_t target_pid = 0;
 };
@@ -29,6 +34,11 @@
     std::string workload_file;
     std::string policy = "baobabswitch";
     double scale = 10; ///< slots are divided by this
+    /// Puts fault-proxy between nodes, before targets and before the platform, with the workload's latency
+    /// between domains.
+    bool proxied = false;
+    bool platform = false;  ///< starts standin-platform, which then holds the document
+    std::uint64_t seed = 1; ///< of the injected faults
 };
 
 /// A workload's services as real processes on addresses in 127.0.0.0/8. The destructor stops them.
@@ -50,19 +60,56 @@
     /// Sends a signal to a VM's node or target.
     void signal_node(std::size_t vm, int signal);
     void signal_target(std::size_t vm, int signal);
-    /// Starts the node of a VM again after it has ended.
+    /// Starts the node or target of a VM again after it has ended.
     result<void> restart_node(std::size_t vm);
-    /// Waits until a node has ended and returns its exit status, or -1 after the timeout.
+    result<void> restart_target(std::size_t vm);
+    /// Waits until a node or target has ended and returns its exit status, or -1 after the timeout.
     int wait_for_node(std::size_t vm, double seconds);
+    int wait_for_target(std::size_t vm, double seconds);
+    /// Waits until the node of a VM reports its own target as up.
+    bool wait_until_up(std::size_t vm, double seconds) const;
+    /// Sets switches of a VM's target (targetswitches.h). Returns whether the target accepted them.
+    bool control_target(std::size_t vm, const std::string& json) const;
+    /// Returns the VMs of a service.
+    std::vector<std::size_t> vms_of(const std::string& service) const;
+
+    /// Replaces the rules of the proxy (src/fault-proxy/rules.h); the latency between domains stays. Returns
+    /// whether the proxy accepted them. Needs options.proxied.
+    bool set_faults(const nlohmann::json& rules) const;
+    /// Returns how often the proxy injected each fault.
+    nlohmann::json fault_counts() const;
+    /// Returns the prefix that holds the addresses of a domain's VMs.
+    std::string prefix_of(const std::string& domain) const;
+    /// Returns rules under which messages between a domain and the others, and the platform, are lost.
+    nlohmann::json domain_cut(const std::string& domain) const;
+    /// Sets faults of the stand-in platform. Needs options.platform.
+    bool control_platform(const std::string& json) const;
+    const endpoint& platform_address() const;
+
+    /// Returns what all targets ran since the start, also those that have ended.
+    execution_table executions() const;
+    /// Returns the number of invariant violations in the logs of all nodes, also those that have ended.
+    std::uint64_t logged_violations() const;
 
 private:
     result<void> start_processes();
+    result<void> start_proxy();
+    result<void> start_platform();
+    nlohmann::json domain_latencies() const;
     result<void> wait_until_ready();
+    std::string executions_file(const deployed_vm& vm) const;
+    std::string log_file(const deployed_vm& vm) const;
 
     deployment_options options_;
     workload load_;
     std::vector<deployed_vm> vms_;
     std::string folder_; ///< settings and logs of this deployment
+    std::string block_;  ///< first three bytes of all addresses, with the last dot
+    endpoint proxy_control_;
+    endpoint platform_;           ///< where the platform listens
+    endpoint platform_advertise_; ///< where nodes reach it
+    pid_t proxy_pid_ = 0;
+    pid_t platform_pid_ = 0;
 };
 
 } // namespace baobabswitch
