--- a/tests/promises/test_promises.cpp
+++ b/tests/promises/test_promises.cpp
@@ -162,7 +162,9 @@
             write_outcomes(book, store, now_ms);
             break;
         case 6:
-            adopt_any(book);
+            if (adopts_live) {
+                adopt_any(book);
+            }
             break;
         default:
             outage = rng() % 10 == 0;
@@ -225,6 +227,7 @@
     std::uint64_t now_ms = 0;
     std::uint64_t serial = 0;
     bool outage = false;
+    bool adopts_live = true;
 };
 
 } // namespace
@@ -254,3 +257,68 @@
         REQUIRE(violations(it.invariants) == 0);
     }
 }
+
+TEST_CASE("cost of batches and of adopting the batches of live holders", "[.measure]") {
+    invariant_table invariants;
+    constexpr int calls = 1000;
+    for (const std::size_t items : {std::size_t{1}, std::size_t{100}}) {
+        memory_store store;
+        std::size_t writes = 0;
+        store.on_call = [&](std::string_view operation, auto) {
+            writes += operation == "put" ? 1 : 0;
+            return store_fault::none;
+        };
+        auto book = make_book("n1.1");
+        book.limits.batch_items = items;
+        for (int n = 0; n < calls; ++n) {
+            const auto item = make_item("n1.1." + std::to_string(n) + ".aa");
+            if (!add(book, item)) {
+                write_open(book, store, 0, invariants);
+                REQUIRE(add(book, item));
+            }
+        }
+        write_open(book, store, 0, invariants);
+        std::cout << "items per batch " << items << ": " << writes << " writes for " << calls
+                  << " promises\n";
+    }
+    for (const std::size_t bytes : {std::size_t{64} * 1024, std::size_t{64} * 1024 * 1024}) {
+        memory_store store;
+        auto book = make_book("n1.1");
+        book.limits.batch_bytes = bytes;
+        std::size_t lost = 0;
+        std::size_t accepted = 0;
+        for (int n = 0; n < calls; ++n) {
+            auto item = make_item("n1.1." + std::to_string(n) + ".aa");
+            item.body.assign(book.limits.item_bytes, 'x');
+            if (!add(book, item)) {
+                const auto written = write_open(book, store, 0, invariants);
+                lost += written.outcome == promise_write::stored ? 0 : written.keys.size();
+                book.held.clear();
+                book.reserved_bytes = 0;
+                REQUIRE(add(book, item));
+            }
+            ++accepted;
+        }
+        std::cout << "byte bound of a batch " << bytes << ": " << lost << " of " << accepted
+                  << " promises of 16 KiB not stored\n";
+    }
+    for (const bool gated : {false, true}) {
+        std::size_t unknown = 0;
+        std::size_t promised = 0;
+        constexpr std::uint64_t schedules = 500;
+        for (std::uint64_t n = 0; n < schedules; ++n) {
+            schedule it{n};
+            it.adopts_live = !gated;
+            for (int k = 0; k < 60; ++k) {
+                it.step();
+            }
+            it.store.on_call = nullptr;
+            for (const auto& key : it.promised) {
+                ++promised;
+                unknown += find_promise(it.store, key).value().state == promise_state::unknown ? 1 : 0;
+            }
+        }
+        std::cout << (gated ? "adoption of dead holders only: " : "adoption of any holder: ") << unknown
+                  << " of " << promised << " promises unknown\n";
+    }
+}
