Add the adaptive concurrency limit and reserve slots for short kinds

Cause: no limit followed the target's own speed, and evidence bundles held slots that evidence fetches needed.

Change: the limit falls when a full target takes twice its learnt time and returns when the fall doesn't help, since a target slowed by a neighbour would otherwise lose nearly all slots. Long kinds leave free what short kinds need, from their measured demand, up to three quarters of the slots.

--- a/src/libbaobabswitch/admission.cpp
+++ b/src/libbaobabswitch/admission.cpp
@@ -63,8 +63,8 @@
     const auto slots = table.limits.slots;
     const bool short_waits = std::any_of(table.waiting.begin(), table.waiting.end(),
                                          [](const auto& it) { return !it.second.is_long; });
-    const auto reserve = std::min(table.limits.long_reserve, slots / 2);
-    return std::max<std::size_t>(short_waits ? slots / 2 : slots - reserve, 1);
+    const auto reserve = std::min(table.limits.long_reserve, slots * 3 / 4);
+    return std::max<std::size_t>(std::min(short_waits ? slots / 2 : slots, slots - reserve), 1);
 }
 
 double remaining_ms(const admission_entry& entry, time_point now) {
@@ -102,6 +102,17 @@
 
 } // namespace
 
+void classify_calls(admission_table& table, const std::set<std::string, std::less<>>& long_kinds) {
+    for (auto* calls : {&table.running, &table.cancelling}) {
+        for (auto& [call, it] : *calls) {
+            it.is_long = long_kinds.contains(it.kind);
+        }
+    }
+    for (auto& [order, it] : table.waiting) {
+        it.is_long = long_kinds.contains(it.kind);
+    }
+}
+
 bool may_start(const admission_table& table, const admission_entry& entry) {
     if (occupied(table) >= table.limits.slots) {
         return false;
--- a/src/libbaobabswitch/admission.h
+++ b/src/libbaobabswitch/admission.h
@@ -4,6 +4,7 @@
 #include "invariants.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -83,6 +84,9 @@
 /// Removes waiting calls that can't complete in time any more and starts what may start.
 queue_changes advance_queue(admission_table& table, time_point now);
 
+/// Takes over which kinds are long; call it when service times were learnt.
+void classify_calls(admission_table& table, const std::set<std::string, std::less<>>& long_kinds);
+
 /// Tells whether a waiting call could start in the present state; after each function above none can.
 bool may_start(const admission_table& table, const admission_entry& entry);
 
--- /dev/null
+++ b/src/libbaobabswitch/concurrency.cpp
@@ -0,0 +1,71 @@
+#include "concurrency.h"
+
+#include <algorithm>
+
+namespace baobabswitch {
+
+namespace {
+
+constexpr double slow_ratio = 2;        ///< of measured to learnt time at which the limit falls
+constexpr double decrease = 0.9;        ///< factor on the limit in a slow round
+constexpr double trial_depth = 0.6;     ///< share of the limit that is left when a fall is judged
+constexpr double cured_share = 0.85;    ///< of the first ratio; above it the fall has not helped
+constexpr double base_growth = 0.0005;  ///< per round, so that a base that is too low is forgotten
+constexpr double slowdown_decay = 0.98; ///< per round
+constexpr std::size_t least_samples = 5;
+
+} // namespace
+
+void configure_concurrency(concurrency_limit& state, std::size_t slots) {
+    slots = std::max<std::size_t>(slots, 1);
+    if (slots != state.configured) {
+        state.configured = slots;
+        state.limit = static_cast<double>(slots);
+        state.episode_limit = 0;
+    }
+}
+
+void record_service(concurrency_limit& state, const std::string& kind, duration own, bool full) {
+    const double ms = std::chrono::duration<double, std::milli>(own).count();
+    const auto [it, first] = state.base_ms.try_emplace(kind, ms);
+    it->second = std::min(it->second, ms);
+    state.ratio_sum += it->second > 0 ? ms / it->second : 1;
+    ++state.samples;
+    state.full = state.full || full;
+}
+
+std::size_t update_concurrency(concurrency_limit& state) {
+    if (state.samples >= least_samples) {
+        const double ratio = state.ratio_sum / static_cast<double>(state.samples);
+        state.slowdown = std::max(1.0, std::min(state.slowdown * slowdown_decay, ratio));
+        if (state.full && ratio > slow_ratio * state.slowdown) {
+            if (state.episode_limit == 0) {
+                state.episode_limit = state.limit;
+                state.episode_ratio = ratio;
+            }
+            state.limit = std::max(1.0, state.limit * decrease);
+            const bool judged = state.limit <= std::max(1.0, state.episode_limit * trial_depth);
+            if (judged && ratio > cured_share * state.episode_ratio) {
+                state.slowdown = ratio;
+                state.limit = state.episode_limit;
+                state.episode_limit = 0;
+            }
+        } else if (state.full) {
+            state.limit = std::min(static_cast<double>(state.configured), state.limit + 1);
+            state.episode_limit = 0;
+        }
+        for (auto& [kind, base] : state.base_ms) {
+            base *= 1 + base_growth;
+        }
+        state.ratio_sum = 0;
+        state.samples = 0;
+        state.full = false;
+    }
+    return current_concurrency(state);
+}
+
+std::size_t current_concurrency(const concurrency_limit& state) {
+    return std::clamp<std::size_t>(static_cast<std::size_t>(state.limit), 1, state.configured);
+}
+
+} // namespace baobabswitch
--- a/src/libbaobabswitch/entry.cpp
+++ b/src/libbaobabswitch/entry.cpp
@@ -210,6 +210,7 @@
             --node.entering;
             if (const auto it = node.calls.find(parent); it != node.calls.end()) {
                 give_back(it->second.ledger, loan, outcome.spent, node.invariants);
+                it->second.child_time += clock::now() - now;
             }
             if (const auto it = node.keys.records.find(key); it != node.keys.records.end()) {
                 it->second.state = state_after(outcome.kind);
--- a/src/libbaobabswitch/nodestate.h
+++ b/src/libbaobabswitch/nodestate.h
@@ -2,6 +2,7 @@
 
 #include "admission.h"
 #include "calltypes.h"
+#include "concurrency.h"
 #include "configdocument.h"
 #include "eventloop.h"
 #include "httpclient.h"
@@ -43,6 +44,7 @@
     http_client::exchange_id exchange = 0;
     time_point received;
     time_point started;
+    duration child_time{0}; ///< time spent in completed child calls
     std::set<std::string> child_labels;
 };
 
@@ -65,6 +67,7 @@
     target_table choice;
     local_target target;
     admission_table admission;
+    concurrency_limit concurrency;                      ///< of the local target
     service_time_table service_times;                   ///< of the local target
     demand_meter demand;                                ///< at the local target
     path_levels paths;                                  ///< below the local target
--- a/src/libbaobabswitch/servicetimes.cpp
+++ b/src/libbaobabswitch/servicetimes.cpp
@@ -19,6 +19,13 @@
     it.mean_ms += (ms - it.mean_ms) / static_cast<double>(it.samples);
 }
 
+void observe_running(service_time_table& table, const std::string& kind, duration elapsed) {
+    auto& it = table.kinds[kind];
+    if (it.samples == 0) {
+        it.mean_ms = std::max(it.mean_ms, std::chrono::duration<double, std::milli>(elapsed).count());
+    }
+}
+
 double expected_service_ms(const service_time_table& table, std::string_view kind) {
     const auto it = table.kinds.find(kind);
     return it == table.kinds.end() ? 0 : it->second.mean_ms;
--- a/src/libbaobabswitch/servicetimes.h
+++ b/src/libbaobabswitch/servicetimes.h
@@ -23,6 +23,10 @@
 /// Takes over the time of a completed call. Cancelled and failed calls are not to be learnt: they end early.
 void learn_service_time(service_time_table& table, const std::string& kind, duration held);
 
+/// Takes over how long a call has been running, while no call of its kind has completed. Without it, a long
+/// kind would count as short until its first completion.
+void observe_running(service_time_table& table, const std::string& kind, duration elapsed);
+
 /// Returns the expected service time in milliseconds; 0 while the kind is unknown.
 double expected_service_ms(const service_time_table& table, std::string_view kind);
 
--- a/src/libbaobabswitch/targetside.cpp
+++ b/src/libbaobabswitch/targetside.cpp
@@ -44,6 +44,8 @@
     const auto now = clock::now();
     if (outcome.kind == outcome_kind::done && outcome.answer.status < 500) {
         learn_service_time(node.service_times, ended.info.kind, now - ended.started);
+        record_service(node.concurrency, ended.info.kind, now - ended.started - ended.child_time,
+                       node.admission.running.size() >= node.admission.limits.slots);
     }
     outcome.thresholds = report_thresholds(node.paths, node.demand.level, node.target.kinds, now);
     outcome.wait =
@@ -260,6 +262,10 @@
     if (config.policy.mode == policy_mode::direct) {
         table.slots = std::numeric_limits<std::size_t>::max();
     }
+    if (!table.fifo) {
+        configure_concurrency(node.concurrency, table.slots);
+        table.slots = current_concurrency(node.concurrency);
+    }
 }
 
 namespace {
@@ -276,6 +282,29 @@
                     static_cast<std::size_t>(std::ceil(need)));
 }
 
+/// Brings the expected service times, the classes of calls and the concurrency limit up to date.
+void update_measurements(node_state& node, time_point now) {
+    for (const auto& [call, it] : node.calls) {
+        if (it.sent) {
+            observe_running(node.service_times, it.info.kind, now - it.started);
+        }
+    }
+    if (node.admission.limits.fifo) {
+        return;
+    }
+    std::set<std::string, std::less<>> long_kinds;
+    for (const auto& [kind, it] : node.service_times.kinds) {
+        if (is_long_kind(node.service_times, kind)) {
+            long_kinds.insert(kind);
+        }
+    }
+    classify_calls(node.admission, long_kinds);
+    if (node.target.state == target_state::up) {
+        node.admission.limits.slots = update_concurrency(node.concurrency);
+    }
+    node.metrics.set_gauge("limit", static_cast<double>(node.admission.limits.slots));
+}
+
 void update_demand(node_state& node, time_point now) {
     const auto& waiting = node.admission.waiting;
     const auto backlog = std::count_if(waiting.begin(), waiting.end(), [&](const auto& it) {
@@ -290,6 +319,7 @@
 } // namespace
 
 void tick_target_side(node_state& node, time_point now) {
+    update_measurements(node, now);
     update_demand(node, now);
     if (node.target.state != target_state::none && node.target.state != target_state::down &&
         now - node.target.last_announced > announcement_lifetime) {
--- /dev/null
+++ b/tests/decisions/test_concurrency.cpp
@@ -0,0 +1,48 @@
+#include "concurrency.h"
+
+#include <catch2/catch.hpp>
+
+using namespace baobabswitch;
+
+namespace {
+
+/// A target whose calls take 40 ms, times a factor that a function gives for the number of running calls.
+template <typename Factor>
+std::size_t run_rounds(concurrency_limit& state, int rounds, Factor factor) {
+    std::size_t limit = current_concurrency(state);
+    for (int n = 0; n < rounds; ++n) {
+        constexpr double base_ms = 40;
+        const double ms = base_ms * factor(static_cast<double>(limit));
+        for (int sample = 0; sample < 10; ++sample) {
+            record_service(state, "page", std::chrono::microseconds{std::lround(ms * 1000)}, true);
+        }
+        limit = update_concurrency(state);
+        CHECK(limit >= 1);
+        CHECK(limit <= state.configured);
+    }
+    return limit;
+}
+
+} // namespace
+
+TEST_CASE("the limit falls for a target that is slow because of its load", "[concurrency]") {
+    // Guards against a target that is kept past the number of calls that it can process side by side.
+    concurrency_limit state;
+    configure_concurrency(state, 20);
+    CHECK(run_rounds(state, 50, [](double) { return 1.0; }) == 20);
+    // Five calls at full speed, shared by all that run.
+    const auto limit = run_rounds(state, 100, [](double n) { return std::max(1.0, n / 5); });
+    CHECK(limit <= 12);
+    CHECK(limit >= 5);
+    CHECK(run_rounds(state, 50, [](double) { return 1.0; }) == 20);
+}
+
+TEST_CASE("slots are kept for a target that is slow whatever its load", "[concurrency]") {
+    // Guards against the collapse of the limit to 1, which would cut throughput to a twentieth.
+    concurrency_limit state;
+    configure_concurrency(state, 20);
+    run_rounds(state, 50, [](double) { return 1.0; });
+    run_rounds(state, 10, [](double) { return 3.0; });
+    CHECK(run_rounds(state, 40, [](double) { return 3.0; }) >= 12);
+    CHECK(run_rounds(state, 150, [](double) { return 1.0; }) == 20);
+}
--- /dev/null
+++ b/tests/decisions/test_thresholds.cpp
@@ -0,0 +1,94 @@
+#include "thresholds.h"
+
+#include <catch2/catch.hpp>
+
+using namespace baobabswitch;
+
+namespace {
+
+constexpr milliseconds tick{100};
+constexpr double slots = 10;
+
+/// Offers slots of demand per importance 9, 5 and 1 for a time, filtered as an entry node does.
+double offer(demand_meter& meter, time_point& now, double seconds, double nine, double five, double one) {
+    double admitted = 0;
+    const auto end = now + std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+    int ticks = 0;
+    for (; now < end; now += tick, ++ticks) {
+        admitted = 0;
+        for (const auto& [importance, demand] : {std::pair{9, nine}, {5, five}, {1, one}}) {
+            const double share = pass_share(meter.level, static_cast<importance_level>(importance), 0);
+            count_demand(meter, static_cast<importance_level>(importance), demand * share * 100, 1 / share,
+                         false);
+            admitted += demand * share;
+        }
+        update_level(meter, slots, 0, now + tick);
+    }
+    return admitted;
+}
+
+} // namespace
+
+TEST_CASE("the level settles where one kind crosses the capacity", "[thresholds]") {
+    // Guards against goodput that swings between all and nothing of the crossing kind.
+    demand_meter meter;
+    time_point now{};
+    offer(meter, now, 5, 4, 12, 30);
+    CHECK(meter.level > 5);
+    CHECK(meter.level < 6);
+    double least = slots * 2;
+    double most = 0;
+    for (int n = 0; n < 20; ++n) {
+        const double admitted = offer(meter, now, 0.1, 4, 12, 30);
+        least = std::min(least, admitted);
+        most = std::max(most, admitted);
+    }
+    CHECK(least > slots * 0.95);
+    CHECK(most < slots * 1.25);
+}
+
+TEST_CASE("the most important kind passes while its own demand fits", "[thresholds]") {
+    // Guards against refusals of permit purchases at the crest of a swing.
+    demand_meter meter;
+    time_point now{};
+    for (const double demand : {1.0, 20.0, 200.0}) {
+        offer(meter, now, 2, 9, demand, demand);
+        CHECK(pass_share(meter.level, 9, 0) == 1);
+    }
+}
+
+TEST_CASE("refusals end within seconds when the load falls", "[thresholds]") {
+    // Guards against overload that outlasts its trigger.
+    demand_meter meter;
+    time_point now{};
+    offer(meter, now, 10, 5, 100, 100);
+    CHECK(pass_share(meter.level, 1, 0) < 0.05);
+    offer(meter, now, 4, 2, 2, 2);
+    CHECK(meter.level == 0);
+}
+
+TEST_CASE("learnt levels fade when no answers come", "[thresholds]") {
+    // Guards against an entry node that refuses for ever because it sends nothing that could tell it more.
+    threshold_table table;
+    const time_point now{};
+    learn_thresholds(table, "map-depot", "a", {{"map-page", 4.5}}, now);
+    learn_thresholds(table, "map-depot", "b", {}, now);
+    CHECK(threshold_level(table, "map-depot", "map-page", now) == Approx(2.25));
+    CHECK(threshold_level(table, "map-depot", "map-page", now + std::chrono::seconds{2}) == 0);
+    learn_thresholds(table, "map-depot", "a", {}, now + tick);
+    CHECK(threshold_level(table, "map-depot", "map-page", now + tick) == 0);
+}
+
+TEST_CASE("levels below a target are reported for the parent's kind only", "[thresholds]") {
+    // Guards against custody transfers that are admitted, run half their chain and fail at its end.
+    path_levels paths;
+    const time_point now{};
+    learn_child_level(paths, "custody-transfer", "ledger-entry", 7.5, now);
+    const std::vector<std::string> kinds{"custody-transfer", "lot-lookup"};
+    const auto levels = report_thresholds(paths, 2, kinds, now);
+    const auto read = parse_thresholds(format_thresholds(levels));
+    REQUIRE(read.size() == 2);
+    CHECK(read.at(0).level == Approx(7.5));
+    CHECK(read.at(1).level == Approx(2));
+    CHECK(parse_thresholds("a=99,b=,=,c=nan,d").empty());
+}
