--- a/src/libbaobabswitch/nodestate.h
+++ b/src/libbaobabswitch/nodestate.h
@@ -3,6 +3,7 @@
 #include "admission.h"
 #include "calltrace.h"
 #include "calltypes.h"
+#include "concurrency.h"
 #include "configdocument.h"
 #include "eventloop.h"
 #include "httpclient.h"
@@ -56,6 +57,7 @@
     /// Non-idempotent child calls by their label.
     std::map<std::string, std::shared_ptr<key_record>> labels;
     std::vector<std::weak_ptr<outgoing_call>> children; ///< child calls on their way
+    duration child_time{0};                             ///< spent in completed child calls
 };
 
 class promise_service;
@@ -86,6 +88,7 @@
     target_table choice;
     local_target target;
     admission_table admission;
+    concurrency_limit concurrency;                      ///< of the local target
     service_time_table service_times;                   ///< of the local target
     demand_meter demand;                                ///< at the local target
     path_levels paths;                                  ///< below the local target
