--- a/tests/integration/standinplatform.cpp
+++ b/tests/integration/standinplatform.cpp
@@ -68,6 +68,10 @@
     return answer ? answer->status : 0;
 }
 
+pid_t platform_process::process() const {
+    return process_;
+}
+
 nlohmann::json platform_process::counters() const {
     httplib::Client client{address_.host, address_.port};
     const auto answer = client.Get("/counters");
--- a/tests/integration/standinplatform.h
+++ b/tests/integration/standinplatform.h
@@ -23,6 +23,7 @@
     /// Switches faults and returns the status of the answer.
     int control(const nlohmann::json& faults) const;
     nlohmann::json counters() const;
+    pid_t process() const;
 
 private:
     endpoint address_;
