--- a/src/libbaobabswitch/entry.cpp
+++ b/src/libbaobabswitch/entry.cpp
@@ -227,6 +227,8 @@
     auto& parent = found->second;
     call.info.request = parent.info.request;
     call.info.depth = parent.info.depth + 1;
+    call.info.parent_kind = parent.info.kind;
+    call.info.parent_importance = parent.info.importance;
     call.info.deadline = std::min(call.info.deadline, parent.info.deadline);
     call.info.importance = std::max(call.info.importance, parent.info.importance);
     if (parent.cancelled) {
--- a/src/libbaobabswitch/targetside.cpp
+++ b/src/libbaobabswitch/targetside.cpp
@@ -7,14 +7,15 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace baobabswitch {
 
 namespace {
 
 constexpr std::chrono::seconds announcement_lifetime{3};
-/// How long a draining node still hands queued calls to its target; a leaving target gets no new work after
-/// 3 s (P6).
+/// How long a draining node still hands queued calls to its target; a leaving target gets no new work
+/// after 3 s (P6).
 constexpr std::chrono::seconds drain_grace{2};
 constexpr std::chrono::seconds leaving_limit{3};
 
@@ -22,7 +23,19 @@
 constexpr std::int64_t max_announced_slots = 10'000;
 constexpr std::int64_t max_announced_connections = 100'000;
 
-void start_calls(node_state& node, const std::vector<std::string>& calls);
+void apply(node_state& node, const queue_changes& changes);
+
+admission_entry admission_entry_of(const node_state& node, const call_info& info) {
+    return {info.call,
+            info.kind,
+            info.importance,
+            info.depth,
+            info.cancellable,
+            info.deadline,
+            0,
+            expected_service_ms(node.service_times, info.kind),
+            is_long_kind(node.service_times, info.kind)};
+}
 
 /// Gives up the child calls of a call that was cancelled or failed: nobody uses their answers any more.
 void cancel_children(const target_call& parent) {
@@ -48,13 +61,19 @@
                std::string{outcome_name(outcome.kind)} +
                    (outcome.cause ? ", " + describe(*outcome.cause) : ""));
     outcome.spent = ended.ledger.spent + ended.ledger.lent;
-    outcome.threshold = admitted_importance(node.admission);
+    const auto now = clock::now();
     const bool completed = outcome.kind == outcome_kind::done;
+    if (completed && outcome.answer.status < 500) {
+        learn_service_time(node.service_times, ended.info.kind, now - ended.started);
+    }
+    outcome.thresholds = report_thresholds(node.paths, node.demand.level, node.target.kinds, now);
+    outcome.wait =
+        milliseconds{std::lround(expected_wait_ms(node.admission, admission_entry_of(node, ended.info)))};
     ended.finish(std::move(outcome));
     if (!completed) {
         cancel_children(ended);
     }
-    start_calls(node, complete(node.admission, call));
+    apply(node, complete(node.admission, call, now));
 }
 
 call_outcome outcome_of(http_result result) {
@@ -168,12 +187,18 @@
         });
 }
 
-void start_calls(node_state& node, const std::vector<std::string>& calls) {
-    for (const auto& it : calls) {
+/// Carries out what admission decided about waiting calls.
+void apply(node_state& node, const queue_changes& changes) {
+    for (const auto& it : changes.start) {
         if (node.calls.contains(it)) {
             send_to_target(node, it);
         }
     }
+    for (const auto& it : changes.expired) {
+        finish_call(node, it,
+                    make_failure(outcome_kind::not_run, error_kind::expired,
+                                 "the call can't complete in its time any more", "allow more time"));
+    }
 }
 
 /// Ends the calls that wait for a target that takes no new work; their senders can use other targets.
@@ -335,7 +360,8 @@
           "a target that is leaving was given a call");
     trace_call(node, info.request, info.call, "hop-arrived", info.kind);
     const auto call = info.call;
-    admission_entry entry{call, info.kind, info.importance, info.depth, info.cancellable, info.deadline, 0};
+    auto entry = admission_entry_of(node, info);
+    count_demand(node.demand, info.importance, entry.expected_ms, info.weight, entry.is_long);
     target_call added;
     added.ledger.granted = info.grant;
     added.info = std::move(info);
@@ -347,7 +373,7 @@
     };
     node.calls.emplace(call, std::move(added));
     exchange->on_abandoned([&node, call] { abandon_call(node, call); });
-    apply(node, call, submit(node.admission, std::move(entry), node.invariants));
+    apply(node, call, submit(node.admission, std::move(entry), clock::now(), node.invariants));
 }
 
 void handle_cancel(node_state& node, const http_request& request, http_exchange& exchange) {
@@ -387,6 +413,12 @@
     const auto service = config.services.find(node.target.service);
     const auto limits = service == config.services.end() ? service_config{} : service->second;
     node.targets.limit_connections(node.target.address, std::max<std::size_t>(node.target.connections, 1));
+    node.target.kinds.clear();
+    for (const auto& [name, kind] : config.kinds) {
+        if (kind.service == node.target.service) {
+            node.target.kinds.push_back(name);
+        }
+    }
     auto& table = node.admission.limits;
     table.queue = limits.queue;
     table.slots = std::min(limits.slots, std::max<std::size_t>(node.target.slots, 1));
@@ -396,12 +428,35 @@
     }
 }
 
+namespace {
+
+/// Slots kept free of long calls: one in ten, or what short calls need, whichever is more. Two standard
+/// deviations of the number of short calls in progress are added to their mean, so that few of them wait.
+std::size_t long_reserve(const node_state& node) {
+    if (node.admission.limits.fifo) {
+        return 0;
+    }
+    constexpr std::size_t slots_per_reserved = 10;
+    const double need = node.demand.short_slots + 2 * std::sqrt(node.demand.short_slots);
+    return std::max(node.admission.limits.slots / slots_per_reserved,
+                    static_cast<std::size_t>(std::ceil(need)));
+}
+
+void update_demand(node_state& node, time_point now) {
+    const auto& waiting = node.admission.waiting;
+    const auto backlog = std::count_if(waiting.begin(), waiting.end(), [&](const auto& it) {
+        return it.second.importance + 1 > node.demand.level;
+    });
+    update_level(node.demand, static_cast<double>(node.admission.limits.slots), static_cast<double>(backlog),
+                 now);
+    node.admission.limits.long_reserve = long_reserve(node);
+    node.metrics.set_gauge("level", node.demand.level);
+}
+
+} // namespace
+
 void tick_target_side(node_state& node, time_point now) {
-    for (const auto& it : expire(node.admission, now)) {
-        finish_call(node, it,
-                    make_failure(outcome_kind::not_run, error_kind::expired,
-                                 "the call's time ran out in the queue", "allow more time"));
-    }
+    update_demand(node, now);
     if (node.target.state != target_state::none && node.target.state != target_state::down &&
         now - node.target.last_announced > announcement_lifetime) {
         log(log_level::warning, "target", "the target stopped announcing itself; no new work is sent to it",
@@ -413,7 +468,7 @@
     if (node.target.state == target_state::leaving && now - node.target.leaving_since > drain_grace) {
         refuse_waiting(node, error_kind::draining, "the target is leaving");
     }
-    start_calls(node, start_waiting(node.admission));
+    apply(node, advance_queue(node.admission, now));
 }
 
 void update_own_entry(node_state& node) {
