--- a/src/libbaobabswitch/settings.cpp
+++ b/src/libbaobabswitch/settings.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::int64_t max_body_bytes = 16 * 1024 * 1024;
+constexpr std::size_t token_digest_digits = 64;
 constexpr std::int64_t max_header_bytes = 256 * 1024;
 
 std::string position(std::string_view file_name, const toml::source_region& where) {
@@ -189,9 +190,17 @@
                     key.finish();
                     keys.emplace_back(id, secret);
                 });
-    reader.each(
-        "operator_tokens", "is not a list of digests", "write for example [\"…\"]",
-        [&](const toml::node& it) { settings.operator_tokens.push_back(it.value_or(std::string{})); });
+    reader.each("operator_tokens", "is not a list of digests", "write for example [\"…\"]",
+                [&](const toml::node& it) {
+                    auto digest = it.value_or(std::string{});
+                    if (digest.size() != token_digest_digits ||
+                        digest.find_first_not_of("0123456789abcdef") != std::string::npos) {
+                        reader.fail(it, "operator_tokens", "holds something that is not a digest",
+                                    "write 64 hexadecimal digits: printf %s TOKEN | b2sum -l 256");
+                        return;
+                    }
+                    settings.operator_tokens.push_back(std::move(digest));
+                });
     reader.finish();
     if (first_error) {
         return;
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -35,6 +35,21 @@
     CHECK_THAT(settings.error().remedy, Contains("node"));
 }
 
+// Guards against a token that is written into the settings instead of its digest.
+TEST_CASE("a token in place of its digest is refused", "[settings]") {
+    std::string text = valid;
+    text.insert(text.find("[[security.keys]]"), "operator_tokens = [\"a token\"]\n");
+    const auto settings = parse_settings(text, "node.toml");
+    REQUIRE_FALSE(settings);
+    CHECK_THAT(settings.error().message, Contains("security.operator_tokens"));
+    CHECK_THAT(settings.error().remedy, Contains("b2sum"));
+}
+
+// Guards against a digest that operators can't make with the tool that the documents name: b2sum -l 256.
+TEST_CASE("the digest of a token is BLAKE2b of 256 bits", "[settings]") {
+    CHECK(token_digest("s3cret token") == "e4d69a24f2f4e7d1158e3d8b96ef0e41a1bb42b752fd6355f2f4e12f2cae25d5");
+}
+
 TEST_CASE("a bad field of the document is named", "[config]") {
     const auto config = parse_configuration(
         R"({"schema":1,"services":{"s":{"slots":1,"connections":1,"queue":1}},)"
