Name the slow service in the workload of the planned-stop test

Cause: workload files now need slow_service; the test's own workload lacked it and the deployment did not start. Change: the field, and the error of a deployment that does not start. Conclusion: test_integration 'a planned stop*' passes, three runs of three.

--- a/tests/integration/test_plannedstop.cpp
+++ b/tests/integration/test_plannedstop.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr auto small_workload = R"({"name": "small", "domains": ["d"], "domain_latency_ms": 0,
-  "client_latency_ms": 0,
+  "client_latency_ms": 0, "slow_service": "desk",
   "services": {"desk": {"servers": 3, "slots": 40, "connections": 100}},
   "kinds": {
     "look": {"service": "desk", "importance": 3, "timeout_ms": 3000, "patience_ms": 0, "idempotent": true,
@@ -39,6 +39,7 @@
         std::filesystem::temp_directory_path() / ("workload-" + std::to_string(getpid()) + ".json");
     std::ofstream{file} << small_workload;
     auto started = deployment::start({program(""), file.string(), "baobabswitch", 1});
+    INFO((started ? "" : describe(started.error())));
     REQUIRE(started);
     auto& it = *started.value();
     event_loop loop;
