--- a/src/baobabswitch-bench/experiment.cpp
+++ b/src/baobabswitch-bench/experiment.cpp
@@ -186,7 +186,10 @@
     const auto& samples = generator.samples();
     std::size_t cut_off = 0;
     std::size_t mixed_up = 0;
+    std::size_t false_not_run = 0;
+    const auto executions = deployed.executions();
     for (const auto& it : samples) {
+        false_not_run += count_ran(executions, it.not_run_ids);
         cut_off += it.cut_off;
         mixed_up += it.whole_answer ? 0 : 1;
     }
@@ -198,11 +201,12 @@
             {"requests", samples.size()},
             {"cut_off_attempts", cut_off},
             {"wrong_answers", mixed_up},
+            {"not_run_but_executed", false_not_run},
             {"measures", measure(samples, which, load)},
             {"phases", describe_phases(samples, which, load)},
             {"kinds", count_kinds(samples, load)},
             {"invariants", describe_invariants(deployed, after)},
-            {"executions", describe_executions(summarize(deployed.executions(), load))},
+            {"executions", describe_executions(summarize(executions, load))},
             {"cost", describe_cost(deployed, before, after, elapsed)},
             {"precision", describe_precision(samples)}};
 }
--- a/src/libdeployment/deployment.cpp
+++ b/src/libdeployment/deployment.cpp
@@ -23,7 +23,7 @@
 constexpr std::uint16_t call_port = 7400;
 constexpr std::uint16_t admin_port = 7401;
 constexpr std::uint16_t target_port = 8000;
-constexpr double start_seconds = 15;
+constexpr double start_seconds = 60;
 constexpr double stop_seconds = 10;
 constexpr std::chrono::milliseconds poll_period{50};
 constexpr auto message_secret = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
@@ -78,6 +78,11 @@
     }
     it->load_ = std::move(load.value());
     scale_down(it->load_, it->options_.scale);
+    if (it->options_.servers > 0) {
+        for (auto& [name, service] : it->load_.services) {
+            service.servers = it->options_.servers;
+        }
+    }
     if (const auto started = it->start_processes(); !started) {
         return started.error();
     }
--- a/src/libdeployment/deployment.h
+++ b/src/libdeployment/deployment.h
@@ -38,6 +38,7 @@
     /// between domains.
     bool proxied = false;
     bool platform = false;  ///< starts standin-platform, which then holds the document
+    int servers = 0;        ///< of each service; 0: as in the workload file
     std::uint64_t seed = 1; ///< of the injected faults
 };
 
--- a/src/libdeployment/executions.cpp
+++ b/src/libdeployment/executions.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <fstream>
-#include <sstream>
 
 namespace baobabswitch {
 
@@ -17,6 +16,11 @@
     }
 }
 
+std::size_t count_ran(const execution_table& table, const std::vector<std::string>& identities) {
+    return static_cast<std::size_t>(std::count_if(identities.begin(), identities.end(),
+                                                  [&](const auto& it) { return table.contains(it); }));
+}
+
 execution_summary summarize(const execution_table& table, const workload& load) {
     execution_summary sum;
     for (const auto& [request, kinds] : table) {
--- a/src/libdeployment/executions.h
+++ b/src/libdeployment/executions.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace baobabswitch {
 
@@ -29,6 +30,9 @@
     std::uint64_t non_idempotent_repeats = 0; ///< executions of non-idempotent calls beyond the first
 };
 
+/// Returns how many of the identities ran.
+std::size_t count_ran(const execution_table& table, const std::vector<std::string>& identities);
+
 execution_summary summarize(const execution_table& table, const workload& load);
 
 } // namespace baobabswitch
--- a/src/libdeployment/loadgenerator.cpp
+++ b/src/libdeployment/loadgenerator.cpp
@@ -210,7 +210,14 @@
         avoid_until_[node] = clock::now() + avoid_time;
     }
     sample.refusals += sample.outcome == "not-run" ? 1 : 0;
+    if (const auto* response = std::get_if<http_response>(&result);
+        response != nullptr && sample.outcome == "not-run" && it->key.empty()) {
+        sample.not_run_ids.emplace_back(header_or_empty(response->headers, "Baobab-Request"));
+    }
     it->certainly_not_run = it->certainly_not_run && sample.outcome == "not-run";
+    if (!it->certainly_not_run && sample.outcome == "not-run" && sample.cause == "connection") {
+        sample.outcome = "unknown"; // Only this attempt wasn't sent.
+    }
     const auto behaviour = options_.behaviour ? options_.behaviour(now_seconds()) : client_behaviour{};
     const bool over = sample.outcome == "done" || sample.outcome == "promised";
     if (over || !issuing_ || sample.attempts > behaviour.retries || !prepare_repeat(*it, sample.cause)) {
@@ -225,21 +232,34 @@
 /// A keyed request is repeated with its own key. A new key is taken only when the owner of the old one is
 /// going away and every attempt so far certainly did not run.
 bool load_generator::prepare_repeat(client_request& it, const std::string& cause) {
+    const auto replace_key = [this, &it] {
+        const auto old = it.key;
+        if (!take_key(it)) {
+            return false;
+        }
+        if (it.certainly_not_run) {
+            it.sample.not_run_ids.push_back(old);
+        }
+        return true;
+    };
     if (it.key.empty()) {
         return true;
     }
     if (cause == "key-owner-gone") {
         keys_[it.key_node].clear();
         // The owner's records are lost; without an earlier attempt nothing can have run.
-        return (it.certainly_not_run || it.sample.attempts == 1) && take_key(it);
+        return (it.certainly_not_run || it.sample.attempts == 1) && replace_key();
     }
     if (cause == "draining" || cause == "connection" || cause == "key-owner-unreachable") {
-        return !it.certainly_not_run || take_key(it);
+        return !it.certainly_not_run || replace_key();
     }
     return true;
 }
 
 void load_generator::end(const std::shared_ptr<client_request>& it) {
+    if (it->sample.outcome == "not-run" && !it->key.empty()) {
+        it->sample.not_run_ids.push_back(it->key);
+    }
     it->sample.seconds = std::chrono::duration<double>(clock::now() - it->planned).count();
     samples_.push_back(it->sample);
     --outstanding_;
--- a/src/libdeployment/loadgenerator.h
+++ b/src/libdeployment/loadgenerator.h
@@ -25,6 +25,8 @@
     unsigned refusals = 0;    ///< attempts answered by not-run
     unsigned cut_off = 0;     ///< attempts whose connection was cut or answer truncated
     bool whole_answer = true; ///< every answer belonged to this request
+    /// Identities of which the last word was "not run": they must not appear among the executions.
+    std::vector<std::string> not_run_ids;
 };
 
 /// How clients react to a request that was not done.
--- /dev/null
+++ b/tests/integration/loadrun.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "deployment.h"
+#include "loadgenerator.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace baobabswitch {
+
+struct load_run_options {
+    double demand = 0.4; ///< multiple of capacity
+    double seconds = 3;
+    client_behaviour clients{8, milliseconds{100}};
+    std::vector<endpoint> entries; ///< nodes that clients call; empty: all
+    std::function<void()> action;  ///< runs on its own thread after the first second
+};
+
+/// What a run of load proved.
+struct load_run_result {
+    std::vector<request_sample> samples;
+    execution_summary executions;
+    std::size_t not_run_but_executed = 0;
+    std::uint64_t violated = 0; ///< invariants, at all nodes
+
+    std::size_t count(const std::string& outcome) const;
+    std::size_t cut_off() const;
+    bool whole_answers() const;
+    /// Returns the share of requests of a kind ("": all) planned in a time that were done.
+    double done_share(const std::string& kind = "", double from = 0, double to = 1e9) const;
+};
+
+/// Starts the workload "small" with real processes. Fails the test if that isn't possible.
+std::unique_ptr<deployment> start_small(bool proxied = false, const std::string& policy = "baobabswitch");
+load_run_result run_load(deployment& deployed, const load_run_options& options);
+
+} // namespace baobabswitch
