--- a/src/baobabswitchctl/ctlsettings.cpp
+++ b/src/baobabswitchctl/ctlsettings.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdlib>
+#include <initializer_list>
 #include <sstream>
 
 namespace baobabswitch {
@@ -21,11 +22,9 @@
 }
 
 /// Returns the first text that is not empty.
-std::string first_given(std::string first, std::string second, std::string third) {
-    if (!first.empty()) {
-        return first;
-    }
-    return second.empty() ? third : second;
+std::string first_given(std::initializer_list<std::string_view> texts) {
+    const auto* it = std::find_if(texts.begin(), texts.end(), [](auto text) { return !text.empty(); });
+    return it == texts.end() ? "" : std::string{*it};
 }
 
 std::vector<std::string> split(const std::string& text) {
@@ -92,13 +91,13 @@
 
 result<ctl_settings> read_ctl_settings(const ctl_arguments& arguments) {
     const auto file =
-        read_settings_file(first_given(arguments.settings_file, environment("BAOBABSWITCH_SETTINGS"), ""));
+        read_settings_file(first_given({arguments.settings_file, environment("BAOBABSWITCH_SETTINGS")}));
     if (!file) {
         return file.error();
     }
     ctl_settings settings;
     const auto platform =
-        first_given(arguments.platform, environment("BAOBABSWITCH_PLATFORM"), file.value().platform);
+        first_given({arguments.platform, environment("BAOBABSWITCH_PLATFORM"), file.value().platform});
     if (!platform.empty()) {
         const auto address = parse_endpoint(platform);
         if (!address) {
@@ -126,8 +125,9 @@
         token = std::move(text.value());
         token.erase(token.find_last_not_of("\r\n") + 1);
     }
-    settings.token = first_given(token, environment("BAOBABSWITCH_TOKEN"), file.value().token);
-    settings.author = first_given(arguments.author, environment("BAOBABSWITCH_AUTHOR"), file.value().author);
+    settings.token = first_given({token, environment("BAOBABSWITCH_TOKEN"), file.value().token});
+    settings.author =
+        first_given({arguments.author, environment("BAOBABSWITCH_AUTHOR"), file.value().author});
     return settings;
 }
 
