--- a/src/libbaobabswitch/entry.cpp
+++ b/src/libbaobabswitch/entry.cpp
@@ -134,6 +134,7 @@
     auto& call = *ended;
     if (const auto it = node.calls.find(call.parent); it != node.calls.end()) {
         give_back(it->second.ledger, call.loan, outcome.spent, node.invariants);
+        it->second.child_time += clock::now() - call.arrived;
     }
     if (call.record && !call.key.empty()) {
         give_back(call.record->ledger, call.loan, outcome.spent, node.invariants);
