--- a/src/libbaobabswitch/requestkeys.cpp
+++ b/src/libbaobabswitch/requestkeys.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::size_t max_keys = 50'000;
 constexpr std::chrono::minutes key_lifetime{10};
+/// A sweep reads the whole table, up to 50,000 records; it is not done at every tick.
+constexpr std::chrono::seconds sweep_period{5};
 constexpr std::size_t key_mac_digits = 16;
 /// Bounds the memory and the answers that one repeated request can claim.
 constexpr std::size_t max_waiters = 16;
@@ -99,6 +101,10 @@
 }
 
 void expire_keys(key_table& table, time_point now) {
+    if (now < table.next_sweep) {
+        return;
+    }
+    table.next_sweep = now + sweep_period;
     std::erase_if(table.records, [&](const auto& it) {
         return it.second->state != key_state::running && now - it.second->issued > key_lifetime;
     });
--- a/src/libbaobabswitch/requestkeys.h
+++ b/src/libbaobabswitch/requestkeys.h
@@ -67,6 +67,7 @@
 struct key_table {
     std::unordered_map<std::string, std::shared_ptr<key_record>> records;
     std::uint64_t last_serial = 0;
+    time_point next_sweep;
     std::deque<kept_answer> kept; ///< oldest first
     std::size_t kept_bytes = 0;
     std::size_t max_kept_bytes = std::size_t{16} * 1024 * 1024;
@@ -79,7 +80,7 @@
 /// Parses a key and checks that a node of this system issued it. Fails with bad_key.
 result<request_key> parse_key(std::string_view text, const key_ring& ring);
 
-/// Forgets keys past their lifetime, but none whose request is running.
+/// Forgets keys past their lifetime, but none whose request is running. Does so at most every 5 s.
 void expire_keys(key_table& table, time_point now);
 
 /// Returns a digest of what makes two calls with one key the same request.
