Bound what readers of the admin interface cost the platform

Cause: each distinct audit limit was read and cached on its own, and each review of a difference read the configuration, so a reader without a token could load the platform and the node's memory. A refused token while an outcome was unknown made the console say that nothing was changed. Change: audit answers come in two lengths; differences use the cached configuration; the console keeps an outcome unknown until it is accepted or in conflict. Conclusion: 40 requests within a second cost at most 3 reads (test_integration [operators]).

--- a/src/libbaobabswitch/adminconfig.cpp
+++ b/src/libbaobabswitch/adminconfig.cpp
@@ -105,7 +105,7 @@
     return accepted ? json_response(200, to_json(accepted.value()).dump()) : refuse(accepted.error());
 }
 
-http_response answer_changes(object_store& store, std::string_view body) {
+http_response answer_changes(const http_response& accepted, std::string_view body) {
     const auto parsed = parse_body(body);
     if (!parsed) {
         return refuse(parsed.error());
@@ -114,17 +114,17 @@
     if (const auto valid = configuration_from_json(document); !valid) {
         return refuse(valid.error());
     }
-    const auto stored = read_config(store);
-    if (!stored && stored.error().kind != error_kind::not_found) {
-        return refuse(stored.error());
+    if (accepted.status != 200) {
+        return accepted;
     }
+    const auto config = json::parse(accepted.body);
+    const auto& before = config["document"];
     auto list = json::array();
-    for (const auto& it : document_changes(stored ? stored.value().document : json::object(), document)) {
+    for (const auto& it : document_changes(before.is_null() ? json::object() : before, document)) {
         list.push_back(
             {{"path", it.path}, {"before", it.before}, {"after", it.after}, {"text", describe(it)}});
     }
-    const auto version = stored ? stored.value().change.version : 0;
-    return json_response(200, json{{"base_version", version}, {"changes", std::move(list)}}.dump());
+    return json_response(200, json{{"base_version", config["version"]}, {"changes", std::move(list)}}.dump());
 }
 
 http_response answer_audit(object_store& store, std::size_t limit) {
--- a/src/libbaobabswitch/adminconfig.h
+++ b/src/libbaobabswitch/adminconfig.h
@@ -22,7 +22,8 @@
                                 std::chrono::system_clock::time_point now);
 
 /// POST /v1/changes: {"document"}. What a valid document would change, and the version that it would replace.
-http_response answer_changes(object_store& store, std::string_view body);
+/// `accepted` is an answer of answer_get_config(); no call to the platform is made.
+http_response answer_changes(const http_response& accepted, std::string_view body);
 
 /// GET /v1/audit?limit=N: the newest accepted changes.
 http_response answer_audit(object_store& store, std::size_t limit);
--- a/src/libbaobabswitch/consolepage.cpp
+++ b/src/libbaobabswitch/consolepage.cpp
@@ -263,8 +263,10 @@
   const headers = { "Content-Type": "application/json", "Authorization": "Bearer " + $("token").value };
   $("apply").disabled = true;
   const answer = await ask("PUT", "/v1/config", JSON.stringify(body), headers);
-  // Without an answer from the node the change may have been accepted as well.
-  const unknown = answer.status === 504 || answer.status === 0 || (settle && answer.status >= 500);
+  // Without an answer from the node the change may have been accepted as well. Once unknown, only an accepted
+  // change or a conflict settles it; a refused token, for example, does not.
+  const unknown = answer.status === 504 || answer.status === 0
+    || (settle && answer.status !== 200 && answer.status !== 409);
   $("settle").hidden = !unknown;
   if (answer.status === 200) {
     state.pending = null;
--- a/src/libbaobabswitch/operatorroutes.cpp
+++ b/src/libbaobabswitch/operatorroutes.cpp
@@ -22,10 +22,13 @@
 /// Requests that may wait for the platform at the same time. It is less than the server's threads, so that
 /// /health and /metrics answer while the platform is silent.
 constexpr std::ptrdiff_t store_requests = 4;
-/// Readers that ask within this time share one read, so that open consoles don't load the platform.
+/// Readers that ask within this time share one read, so that open consoles, or readers without a
+/// token, don't load the platform.
 constexpr milliseconds cache_lifetime{1000};
-constexpr std::size_t default_audit_entries = 50;
-constexpr std::size_t max_audit_entries = 1000;
+/// Audit answers come in two lengths, so that few of them are cached and read. The longer takes 160 KB at
+/// most.
+constexpr std::size_t short_audit = 20;
+constexpr std::size_t long_audit = 200;
 /// A document of 1 MB with its wrapping.
 constexpr std::size_t max_body_bytes = 2 * 1024 * 1024;
 
@@ -117,10 +120,12 @@
 
 void add_config_routes(httplib::Server& server, node_state& node,
                        const std::shared_ptr<operator_store>& store) {
-    server.Get("/v1/config", [&node, store](const httplib::Request&, httplib::Response& response) {
-        send(response, store->ask_cached("config", [&](object_store& it) {
-            return answer_get_config(it, version_here(node));
-        }));
+    const auto accepted = [&node, store] {
+        return store->ask_cached("config",
+                                 [&](object_store& it) { return answer_get_config(it, version_here(node)); });
+    };
+    server.Get("/v1/config", [accepted](const httplib::Request&, httplib::Response& response) {
+        send(response, accepted());
     });
     server.Put("/v1/config", [&node, store](const httplib::Request& request, httplib::Response& response) {
         if (!authorized(node, request, response)) {
@@ -134,13 +139,12 @@
             {{"status", std::to_string(answer.status)}, {"from", request.remote_addr}});
         send(response, answer);
     });
-    server.Post("/v1/changes", [store](const httplib::Request& request, httplib::Response& response) {
-        send(response, store->ask([&](object_store& it) { return answer_changes(it, request.body); }));
+    server.Post("/v1/changes", [accepted](const httplib::Request& request, httplib::Response& response) {
+        send(response, answer_changes(accepted(), request.body));
     });
     server.Get("/v1/audit", [store](const httplib::Request& request, httplib::Response& response) {
-        const auto limit = std::min<std::uint64_t>(
-            parse_number(request.get_param_value("limit")).value_or(default_audit_entries),
-            max_audit_entries);
+        const auto asked = parse_number(request.get_param_value("limit")).value_or(short_audit);
+        const auto limit = asked <= short_audit ? short_audit : long_audit;
         send(response, store->ask_cached("audit" + std::to_string(limit),
                                          [&](object_store& it) { return answer_audit(it, limit); }));
     });
--- a/tests/integration/test_operators.cpp
+++ b/tests/integration/test_operators.cpp
@@ -119,6 +119,17 @@
     const auto changes = node.client().Post("/v1/changes", change(7, 1, "").dump(), "application/json");
     REQUIRE(changes);
     CHECK_THAT(changes->body, Contains("~ kinds.k.importance: 5 -> 7"));
+
+    // Readers without a token can't load the platform.
+    const auto calls = platform.counters()["calls"].dump();
+    for (int n = 0; n < 20; ++n) {
+        (void)node.client().Post("/v1/changes", change(7, 1, "").dump(), "application/json");
+        (void)node.get("/v1/config");
+    }
+    const auto gets = [](const json& counts) {
+        return counts["get"].get<int>();
+    };
+    CHECK(gets(platform.counters()["calls"]) - gets(json::parse(calls)) <= 3);
 }
 
 // Guards against a lost answer that the console takes for a failure, and against a node that hangs with the
@@ -148,7 +159,9 @@
     REQUIRE(platform.control({{"outage", "silent"}}) == 200);
     std::vector<std::thread> readers;
     for (int n = 0; n < 12; ++n) {
-        readers.emplace_back([&] { (void)node.client().Get("/v1/audit?limit=" + std::to_string(n + 1)); });
+        readers.emplace_back([&] {
+            (void)node.client().Get(n % 3 == 0 ? "/v1/audit" : n % 3 == 1 ? "/v1/rollout" : "/v1/config");
+        });
     }
     std::this_thread::sleep_for(milliseconds{200});
     const auto start = clock::now();
