Test top, explain and drain against a real node

Cause: only drain was run as an operator would. Change: the test also checks that a silent node is shown and that an unknown request or node is not found.

--- a/tests/integration/test_operators.cpp
+++ b/tests/integration/test_operators.cpp
@@ -1,6 +1,7 @@
 #include "configstore.h"
 #include "mac.h"
 #include "platformclient.h"
+#include "settings.h"
 #include "standinplatform.h"
 
 #include <catch2/catch.hpp>
@@ -172,26 +173,33 @@
     }
 }
 
-// Guards against a node that anyone can stop, and a drain that doesn't end the process.
-TEST_CASE("an operator drains a node by its name", "[operators]") {
+// Guards against a node that anyone can stop, a drain that doesn't end the process, and commands that hide a
+// node without an answer.
+TEST_CASE("an operator sees and drains a node", "[operators]") {
     const platform_process platform;
     node_process node{platform.address()};
-    const auto log =
-        (std::filesystem::temp_directory_path() / ("drain-" + std::to_string(node.admin.port))).string();
-    const auto drain = [&](const std::string& with_token) {
-        const auto file = log + ".token";
+    const auto log = std::filesystem::temp_directory_path() / ("ops-" + std::to_string(node.admin.port));
+    const auto ctl = [&](std::vector<std::string> arguments, const std::string& with_token = "") {
+        const auto file = log.string() + ".token";
         std::ofstream{file} << with_token << "\n";
-        const auto started = start_process({program("baobabswitchctl"), "drain", "n1", "--node",
-                                            to_string(node.admin), "--token-file", file},
-                                           log);
+        std::filesystem::remove(log);
+        arguments.insert(arguments.begin(), program("baobabswitchctl"));
+        arguments.insert(arguments.end(), {"--node", to_string(node.admin), "--token-file", file});
+        const auto started = start_process(arguments, log.string());
         REQUIRE(started);
         const auto code = wait_for_exit(started.value(), 20);
+        const auto output = read_file(log.string()).value();
+        std::filesystem::remove(log);
         std::filesystem::remove(file);
-        return code;
+        return std::pair{code, output};
     };
-    CHECK(drain("wrong") == 8);
+    const auto top = ctl({"top", "--node", "127.0.0.1:" + std::to_string(free_port())});
+    CHECK(top.first == 0);
+    CHECK_THAT(top.second, Contains("n1") && Contains("no answer"));
+    CHECK(ctl({"explain", "n1.1.1"}).first == 9);
+    CHECK(ctl({"drain", "n1"}, "wrong").first == 8);
     CHECK(wait_for_exit(node.process, 0.3) == -1);
-    CHECK(drain(token) == 0);
+    CHECK(ctl({"drain", "n2"}, token).first == 9);
+    CHECK(ctl({"drain", "n1"}, token).first == 0);
     CHECK(wait_for_exit(node.process, 10) == 0);
-    std::filesystem::remove(log);
 }
