Add the scenarios domain-cut, platform-outage and config-race

The bench had no scenario for failures outside nodes and targets. domain-cut loses a domain's messages at the fault proxy, platform-outage silences the stand-in platform, config-race lets operators at four nodes change the document at once and waits until every node has the newest accepted version. Tests that only inject faults into connections share one deployment, which shortens tests/integration.

--- a/src/baobabswitch-bench/experiment.cpp
+++ b/src/baobabswitch-bench/experiment.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iomanip>
+#include <mutex>
 #include <ostream>
 #include <thread>
 
@@ -104,23 +105,37 @@
           phases_(phases) {}
 
     ~action_runner() {
-        for (auto& it : threads_) {
-            it.join();
-        }
+        wait();
     }
     action_runner(const action_runner&) = delete;
     action_runner& operator=(const action_runner&) = delete;
     action_runner(action_runner&&) = delete;
     action_runner& operator=(action_runner&&) = delete;
 
-    /// Calls on_phase() at the start of the phase with that number and of those after it.
+    /// Waits for all actions and returns what they found, by phase.
+    const json& wait() {
+        for (auto& it : threads_) {
+            if (it.joinable()) {
+                it.join();
+            }
+        }
+        return events_;
+    }
+
+    /// Starts the action of the phase with that number now, and those of the later phases at their times.
     void start_phase(std::size_t n) {
         if (n >= phases_.size()) {
             return;
         }
         const auto& it = phases_.at(n);
         if (it.on_start) {
-            threads_.emplace_back([this, &it] { it.on_start(deployed_, it.seconds); });
+            threads_.emplace_back([this, &it] {
+                auto found = it.on_start(deployed_, it.seconds);
+                const std::lock_guard lock{mutex_};
+                if (!found.is_null()) {
+                    events_[it.name] = std::move(found);
+                }
+            });
         }
         loop_.schedule(std::chrono::duration_cast<duration>(std::chrono::duration<double>(it.seconds)),
                        [this, n] { start_phase(n + 1); });
@@ -131,6 +146,8 @@
     deployment& deployed_;
     const std::vector<phase>& phases_;
     std::vector<std::thread> threads_;
+    std::mutex mutex_; ///< guards events_ while actions run
+    json events_ = json::object();
 };
 
 double weight_of(const phase& it, const std::string& kind) {
@@ -176,10 +193,12 @@
     load_generator generator{loop, load, nodes, options};
     const auto before = read_nodes(deployed);
     const auto began = clock::now();
+    json events;
     {
         action_runner actions{loop, deployed, phases};
         generator.start([&loop] { loop.stop(); }, [&actions] { actions.start_phase(0); });
         loop.run();
+        events = actions.wait();
     }
     const double elapsed = std::chrono::duration<double>(clock::now() - began).count();
     const auto after = read_nodes(deployed);
@@ -202,6 +221,7 @@
             {"cut_off_attempts", cut_off},
             {"wrong_answers", mixed_up},
             {"not_run_but_executed", false_not_run},
+            {"events", std::move(events)},
             {"measures", measure(samples, which, load)},
             {"phases", describe_phases(samples, which, load)},
             {"kinds", count_kinds(samples, load)},
--- a/src/baobabswitch-bench/main.cpp
+++ b/src/baobabswitch-bench/main.cpp
@@ -66,7 +66,7 @@
 }
 
 int run(const cxxopts::ParseResult& args) {
-    const auto options = make_deployment_options(args);
+    auto options = make_deployment_options(args);
     auto load = load_workload(options.workload_file);
     if (!load) {
         return report(load.error());
@@ -80,6 +80,8 @@
         return report(
             {error_kind::not_found, "there is no scenario \"" + name + "\"", "see --list-scenarios"});
     }
+    options.proxied = options.proxied || found->proxied;
+    options.platform = options.platform || found->platform;
     auto started = deployment::start(options);
     if (!started) {
         return report(started.error());
--- a/src/libdeployment/deployment.cpp
+++ b/src/libdeployment/deployment.cpp
@@ -1,5 +1,6 @@
 #include "deployment.h"
 
+#include "mac.h"
 #include "process.h"
 
 #include <httplib.h>
@@ -26,6 +27,7 @@
 constexpr double start_seconds = 60;
 constexpr double stop_seconds = 10;
 constexpr std::chrono::milliseconds poll_period{50};
+constexpr auto operator_token = "trial-operator";
 constexpr auto message_secret = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 
 /// Addresses of a domain's VMs begin at this multiple in the last byte, so that a prefix of 27 bits holds
@@ -62,8 +64,9 @@
            to_string(vm.listen) + "\"\nadvertise = \"" + to_string(vm.advertise) + "\"\n" + platform_line +
            "admin = \"" + to_string(vm.admin) + "\"\nsource_host = \"" + vm.listen.host + "\"\nseeds = [" +
            seeds + "]\nlog = \"warning\"\ninitial_document = \"" + folder +
-           "/document.json\"\n\n[security]\nactive = \"k1\"\n\n" +
-           "[[security.keys]]\nid = \"k1\"\nsecret = \"" + message_secret + "\"\n";
+           "/document.json\"\n\n[security]\nactive = \"k1\"\noperator_tokens = [\"" +
+           token_digest(operator_token) + "\"]\n\n" + "[[security.keys]]\nid = \"k1\"\nsecret = \"" +
+           message_secret + "\"\n";
 }
 
 } // namespace
@@ -247,6 +250,43 @@
     return platform_;
 }
 
+std::pair<int, std::uint64_t>
+deployment::change_config(std::size_t vm, const std::string& author,
+                          const std::function<void(nlohmann::json&)>& change) const {
+    const auto& admin = vms_.at(vm).admin;
+    httplib::Client client{admin.host, admin.port};
+    client.set_bearer_token_auth(operator_token);
+    const auto stored = client.Get("/v1/config");
+    if (!stored || stored->status != 200) {
+        return {stored ? stored->status : 0, 0};
+    }
+    const auto current = nlohmann::json::parse(stored->body, nullptr, false);
+    auto document = current.value("document", nlohmann::json());
+    if (document.is_null()) {
+        document = nlohmann::json::parse(make_document(load_, options_.policy));
+    }
+    change(document);
+    const nlohmann::json body{{"document", std::move(document)},
+                              {"author", author},
+                              {"reason", "trial"},
+                              {"base_version", current.value("version", std::uint64_t{0})}};
+    const auto written = client.Put("/v1/config", body.dump(), "application/json");
+    if (!written) {
+        return {0, 0};
+    }
+    const auto answer = nlohmann::json::parse(written->body, nullptr, false);
+    const bool accepted = written->status == 200 && answer.is_object();
+    return {written->status, accepted ? answer.value("version", std::uint64_t{0}) : 0};
+}
+
+std::uint64_t deployment::config_version(std::size_t vm) const {
+    const auto& admin = vms_.at(vm).admin;
+    httplib::Client client{admin.host, admin.port};
+    const auto response = client.Get("/v1/status");
+    const auto status = response ? nlohmann::json::parse(response->body, nullptr, false) : nlohmann::json();
+    return status.is_object() ? status.value("config_version", std::uint64_t{0}) : 0;
+}
+
 std::string deployment::executions_file(const deployed_vm& vm) const {
     return folder_ + "/" + vm.node_id + ".executions";
 }
--- a/src/libdeployment/deployment.h
+++ b/src/libdeployment/deployment.h
@@ -7,8 +7,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <sys/types.h>
@@ -86,6 +88,12 @@
     /// Sets faults of the stand-in platform. Needs options.platform.
     bool control_platform(const std::string& json) const;
     const endpoint& platform_address() const;
+    /// Reads the document through a node, changes it and writes it back on condition. Returns the HTTP status
+    /// of the write (0: no answer) and the accepted version (0: none). Needs options.platform.
+    std::pair<int, std::uint64_t> change_config(std::size_t vm, const std::string& author,
+                                                const std::function<void(nlohmann::json&)>& change) const;
+    /// Returns the version of the document in force at a node, 0 if it doesn't answer.
+    std::uint64_t config_version(std::size_t vm) const;
 
     /// Returns what all targets ran since the start, also those that have ended.
     execution_table executions() const;
--- a/src/libdeployment/scenario.cpp
+++ b/src/libdeployment/scenario.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <mutex>
 #include <thread>
 
 namespace baobabswitch {
@@ -59,29 +60,83 @@
     return base;
 }
 
-std::function<void(deployment&, double)> slow_service(const std::string& service, double factor,
-                                                      std::size_t max_targets) {
+std::function<nlohmann::json(deployment&, double)> slow_service(const std::string& service, double factor,
+                                                                std::size_t max_targets) {
     return [=](deployment& it, double) {
         const auto vms = it.vms_of(service);
         for (std::size_t n = 0; n < std::min(vms.size(), max_targets); ++n) {
             it.control_target(vms.at(n), "{\"slowdown\": " + std::to_string(factor) + "}");
         }
+        return nlohmann::json();
     };
 }
 
 /// Stops VMs one after another, the target first, and starts them again while time is left.
-void stop_in_turn(deployment& it, double seconds) {
+nlohmann::json stop_in_turn(deployment& it, double seconds) {
     const auto deadline = clock::now() + std::chrono::duration<double>(seconds);
+    std::size_t stopped = 0;
+    std::size_t clean_exits = 0;
     for (std::size_t vm = 0; vm < it.vms().size() && clock::now() < deadline; ++vm) {
         it.signal_target(vm, SIGTERM);
-        it.wait_for_target(vm, stop_timeout_seconds);
+        const int target_status = it.wait_for_target(vm, stop_timeout_seconds);
         it.signal_node(vm, SIGTERM);
-        it.wait_for_node(vm, stop_timeout_seconds);
+        const int node_status = it.wait_for_node(vm, stop_timeout_seconds);
+        ++stopped;
+        clean_exits += target_status == 0 && node_status == 0 ? 1 : 0;
         if (!it.restart_node(vm) || !it.restart_target(vm)) {
-            return;
+            break;
         }
         it.wait_until_up(vm, stop_timeout_seconds);
     }
+    return {{"stopped", stopped}, {"clean_exits", clean_exits}};
+}
+
+/// Operators at several nodes change the document at the same time; at the end every node must have the
+/// newest accepted version in force.
+nlohmann::json race_for_config(deployment& it, double seconds) {
+    constexpr std::size_t operators = 4;
+    constexpr double settle_seconds = 10;
+    std::mutex mutex;
+    std::map<std::string, int> answers;
+    std::uint64_t newest = 0;
+    const auto deadline = clock::now() + std::chrono::duration<double>(seconds);
+    std::vector<std::thread> threads;
+    for (std::size_t n = 0; n < operators; ++n) {
+        threads.emplace_back([&, n] {
+            for (int change = 0; clock::now() < deadline; ++change) {
+                const auto vm = (n + static_cast<std::size_t>(change) * operators) % it.vms().size();
+                const auto name = "operator-" + std::to_string(n);
+                const auto [status, version] = it.change_config(vm, name, [&](nlohmann::json& document) {
+                    document["policy"]["hedge_percent"] = 1 + change % 10;
+                });
+                const std::lock_guard lock{mutex};
+                ++answers[std::to_string(status)];
+                newest = std::max(newest, version);
+            }
+        });
+    }
+    for (auto& thread : threads) {
+        thread.join();
+    }
+    const auto began = clock::now();
+    bool in_force = false;
+    while (!in_force && clock::now() - began < std::chrono::duration<double>(settle_seconds)) {
+        in_force = true;
+        for (std::size_t vm = 0; vm < it.vms().size(); ++vm) {
+            in_force = in_force && it.config_version(vm) >= newest;
+        }
+    }
+    const std::chrono::duration<double> took = clock::now() - began;
+    return {{"answers", answers},
+            {"newest_accepted", newest},
+            {"in_force_everywhere", in_force},
+            {"seconds_after_last_change", took.count()}};
+}
+
+/// Applies a first document through the platform, so that later changes have one to start from.
+nlohmann::json apply_first_document(deployment& it, double) {
+    const auto [status, version] = it.change_config(0, "operator", [](nlohmann::json&) {});
+    return {{"first_document", status}, {"version", version}};
 }
 
 phase steady(std::string name, phase_role role, double seconds, double demand) {
@@ -158,6 +213,44 @@
     return {steady("before the stops", phase_role::reference, 3, 0.5), stops};
 }
 
+/// A disturbance between a reference and a time in which goodput must come back.
+std::vector<phase> disturbance_phases(std::string name,
+                                      std::function<nlohmann::json(deployment&, double)> begin,
+                                      std::function<nlohmann::json(deployment&, double)> end) {
+    constexpr double demand = 0.5;
+    auto disturbed = steady(std::move(name), phase_role::surge, 6, demand);
+    disturbed.on_start = std::move(begin);
+    auto after = steady("healed", phase_role::after_surge, 8, demand);
+    after.on_start = std::move(end);
+    return {steady("warm-up", phase_role::warm_up, 1, demand),
+            steady("before", phase_role::reference, 3, demand), disturbed, after};
+}
+
+std::vector<phase> domain_cut_phases(const workload& load) {
+    const auto domain = load.domains.front();
+    return disturbance_phases(
+        "domain cut off",
+        [domain](deployment& it, double) -> nlohmann::json { return it.set_faults(it.domain_cut(domain)); },
+        [](deployment& it, double) -> nlohmann::json { return it.set_faults(nlohmann::json::array()); });
+}
+
+std::vector<phase> platform_outage_phases() {
+    return disturbance_phases(
+        "platform silent",
+        [](deployment& it, double) -> nlohmann::json {
+            return it.control_platform(R"({"outage":"silent"})");
+        },
+        [](deployment& it, double) -> nlohmann::json { return it.control_platform(R"({"outage":"none"})"); });
+}
+
+std::vector<phase> config_race_phases() {
+    auto first = steady("first document", phase_role::reference, 3, 0.5);
+    first.on_start = apply_first_document;
+    auto race = steady("operators racing", phase_role::disturbed, 6, 0.5);
+    race.on_start = race_for_config;
+    return {first, race, steady("after the race", phase_role::warm_up, 3, 0.5)};
+}
+
 void append(std::vector<phase>& phases, std::vector<phase> more) {
     std::move(more.begin(), more.end(), std::back_inserter(phases));
 }
@@ -200,6 +293,12 @@
                     short_behind_long_phases(load)});
     list.push_back({"rolling-stop", "nodes and targets are stopped by SIGTERM in turn and started again",
                     rolling_stop_phases()});
+    list.push_back({"domain-cut", "a failure domain loses the others and the platform for 6 s",
+                    domain_cut_phases(load), true, true});
+    list.push_back(
+        {"platform-outage", "the platform gives no answer for 6 s", platform_outage_phases(), false, true});
+    list.push_back({"config-race", "operators at four nodes change the document at the same time",
+                    config_race_phases(), false, true});
     scenario all{"all", "the phases of all five measures in one run", {}};
     append(all.phases, short_behind_long_phases(load));
     append(all.phases, slow_target_phases(load));
--- a/src/libdeployment/scenario.h
+++ b/src/libdeployment/scenario.h
@@ -3,6 +3,8 @@
 #include "deployment.h"
 #include "loadgenerator.h"
 
+#include <nlohmann/json.hpp>
+
 #include <functional>
 #include <map>
 #include <string>
@@ -34,14 +36,17 @@
     double demand_to = 0;
     client_behaviour clients;
     std::map<std::string, double> weights; ///< factor on the share of a kind; 1 for the others
-    /// Runs on its own thread when the phase begins; gets the phase's length in seconds.
-    std::function<void(deployment&, double)> on_start;
+    /// Runs on its own thread when the phase begins; gets the phase's length in seconds and returns what it
+    /// found, or null.
+    std::function<nlohmann::json(deployment&, double)> on_start;
 };
 
 struct scenario {
     std::string name;
     std::string purpose;
     std::vector<phase> phases;
+    bool proxied = false;  ///< needs the fault proxy
+    bool platform = false; ///< needs the stand-in platform
 };
 
 struct scenario_options {
--- a/tests/integration/test_faults.cpp
+++ b/tests/integration/test_faults.cpp
@@ -35,6 +35,13 @@
     return nodes;
 }
 
+/// A deployment behind the fault proxy for tests that only inject faults into connections. Its counts add up
+/// over these tests.
+deployment& shared_deployment() {
+    static const auto shared = start_small(true);
+    return *shared;
+}
+
 nlohmann::json rule(std::uint16_t port, const char* fault, double share) {
     return nlohmann::json::array({{{"port", port}, {fault, share}}});
 }
@@ -117,38 +124,38 @@
 // Guards against a repeat after the request may have arrived: the outcome is unknown, never a second run
 // (P5).
 TEST_CASE("a connection cut after the request was sent causes no second execution") {
-    const auto deployed = start_small(true);
+    auto& deployed = shared_deployment();
     const auto port = GENERATE(call_port, target_port);
-    REQUIRE(deployed->set_faults(rule(port, "cut_after_request", 0.2)));
+    REQUIRE(deployed.set_faults(rule(port, "cut_after_request", 0.2)));
     load_run_options options;
     options.clients.retries = 2;
-    const auto run = run_load(*deployed, options);
+    const auto run = run_load(deployed, options);
     check_promises(run);
-    CHECK(deployed->fault_counts().value("cut-after-request", 0) > 0);
+    CHECK(deployed.fault_counts().value("cut-after-request", 0) > 0);
     CHECK(run.count("unknown") > 0);
 }
 
 // Guards against an answer that arrived only in part being passed on as done (P3).
 TEST_CASE("half answers never reach a caller as done") {
-    const auto deployed = start_small(true);
-    REQUIRE(deployed->set_faults(rule(target_port, "half_answer", 0.2)));
+    auto& deployed = shared_deployment();
+    REQUIRE(deployed.set_faults(rule(target_port, "half_answer", 0.2)));
     load_run_options options;
     options.clients.retries = 2;
-    const auto run = run_load(*deployed, options);
+    const auto run = run_load(deployed, options);
     check_promises(run);
-    CHECK(deployed->fault_counts().value("half-answer", 0) > 0);
+    CHECK(deployed.fault_counts().value("half-answer", 0) > 0);
     CHECK(run.count("unknown") > 0);
 }
 
 // Guards against bytes that are not HTTP disturbing a node or being passed on as an answer (P3).
 TEST_CASE("garbage answers never reach a caller as done") {
-    const auto deployed = start_small(true);
-    REQUIRE(deployed->set_faults(rule(target_port, "garbage_answer", 0.2)));
+    auto& deployed = shared_deployment();
+    REQUIRE(deployed.set_faults(rule(target_port, "garbage_answer", 0.2)));
     load_run_options options;
     options.clients.retries = 2;
-    const auto run = run_load(*deployed, options);
+    const auto run = run_load(deployed, options);
     check_promises(run);
-    CHECK(deployed->fault_counts().value("garbage-answer", 0) > 0);
+    CHECK(deployed.fault_counts().value("garbage-answer", 0) > 0);
 }
 
 // Guards against retries that multiply under overload (P1) and important work refused before the rest (P2).
