--- a/src/libdeployment/deployment.cpp
+++ b/src/libdeployment/deployment.cpp
@@ -1,5 +1,6 @@
 #include "deployment.h"
 
+#include "configstore.h"
 #include "mac.h"
 #include "process.h"
 
@@ -269,6 +270,7 @@
     const nlohmann::json body{{"document", std::move(document)},
                               {"author", author},
                               {"reason", "trial"},
+                              {"write_id", make_write_id()},
                               {"base_version", current.value("version", std::uint64_t{0})}};
     const auto written = client.Put("/v1/config", body.dump(), "application/json");
     if (!written) {
