--- /dev/null
+++ b/src/libbaobabswitch/configsync.cpp
@@ -0,0 +1,224 @@
+#include "configsync.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace baobabswitch {
+
+namespace {
+
+using json = nlohmann::json;
+using std::chrono::seconds;
+
+constexpr std::size_t kept_patches = 32;
+constexpr std::size_t watchers_per_domain = 2;
+constexpr duration fetch_retry_delay = milliseconds{500};
+/// Longer than the HTTP timeout of a fetch, so that only a lost callback is given up here.
+constexpr duration fetch_lifetime = seconds{5};
+constexpr milliseconds first_backoff{200};
+constexpr milliseconds greatest_backoff{30'000};
+
+error bad_document(const std::string& detail) {
+    return {error_kind::bad_document, "a configuration was refused: " + detail,
+            "apply a new version with baobabswitchctl"};
+}
+
+} // namespace
+
+result<bool> take_document(config_sync& sync, versioned_document next) {
+    if (sync.current && next.version <= sync.current->version) {
+        return false;
+    }
+    if (document_digest(next.document) != next.digest) {
+        return bad_document("version " + std::to_string(next.version) + " does not have the digest " +
+                            next.digest);
+    }
+    auto parsed = configuration_from_json(next.document);
+    if (!parsed) {
+        // It isn't fetched again; a later version may be valid.
+        sync.refused = config_mark{next.version, next.digest};
+        return bad_document("version " + std::to_string(next.version) + ": " + parsed.error().message);
+    }
+    if (sync.current) {
+        check(*sync.invariants, invariant::config_monotonic, next.version > sync.current->version,
+              "version " + std::to_string(next.version) + " would replace " +
+                  std::to_string(sync.current->version));
+        sync.patches.push_back({sync.current->version, json::diff(sync.current->document, next.document)});
+        if (sync.patches.size() > kept_patches) {
+            sync.patches.pop_front();
+        }
+    }
+    parsed.value().version = next.version;
+    sync.in_force = std::make_shared<const configuration>(std::move(parsed.value()));
+    sync.current = std::move(next);
+    sync.fetch_whole = false;
+    if (sync.wanted && sync.wanted->mark.version <= sync.current->version) {
+        sync.wanted.reset();
+    }
+    return true;
+}
+
+result<versioned_document> parse_stored_config(std::string_view value) {
+    try {
+        auto object = json::parse(value);
+        return versioned_document{object.at("version").get<std::uint64_t>(),
+                                  object.at("digest").get<std::string>(), std::move(object.at("document"))};
+    } catch (const json::exception& ex) {
+        return bad_document(std::string{"the stored object is malformed: "} + ex.what());
+    }
+}
+
+config_mark held_mark(const config_sync& sync) {
+    return sync.current ? config_mark{sync.current->version, sync.current->digest} : config_mark{};
+}
+
+void hear_of_config(config_sync& sync, const config_news& news) {
+    if (sync.current && news.mark.version <= sync.current->version) {
+        return;
+    }
+    if (sync.refused && news.mark.version <= sync.refused->version) {
+        return;
+    }
+    if (!sync.wanted || news.mark.version >= sync.wanted->mark.version) {
+        sync.wanted = news;
+    }
+}
+
+std::optional<config_fetch> next_config_fetch(config_sync& sync, time_point now) {
+    if (sync.fetching && now - *sync.fetching >= fetch_lifetime) {
+        sync.fetching.reset();
+    }
+    if (!sync.wanted || sync.fetching || now < sync.fetch_after) {
+        return std::nullopt;
+    }
+    sync.fetching = now;
+    std::string path = "/n/config";
+    if (sync.current && !sync.fetch_whole) {
+        path += "?have=" + std::to_string(sync.current->version);
+    }
+    return config_fetch{sync.wanted->from, std::move(path)};
+}
+
+result<std::string> answer_config_fetch(const config_sync& sync, std::optional<std::uint64_t> have) {
+    if (!sync.current) {
+        return error{error_kind::not_found, "this node has no configuration yet", "ask another node"};
+    }
+    json answer{{"v", sync.current->version}, {"g", sync.current->digest}};
+    if (have && *have >= sync.current->version) {
+        return answer.dump();
+    }
+    const auto first = std::find_if(sync.patches.begin(), sync.patches.end(),
+                                    [&](const config_patch& it) { return have && it.from == *have; });
+    if (first == sync.patches.end()) {
+        answer["doc"] = sync.current->document;
+        return answer.dump();
+    }
+    // Patches applied one after the other are one patch with all their operations.
+    auto operations = json::array();
+    for (auto it = first; it != sync.patches.end(); ++it) {
+        operations.insert(operations.end(), it->operations.begin(), it->operations.end());
+    }
+    answer["b"] = *have;
+    answer["p"] = std::move(operations);
+    auto patched = answer.dump();
+    // A row of large patches may be longer than the document itself.
+    const auto whole = sync.current->document.dump();
+    if (patched.size() <= whole.size()) {
+        return patched;
+    }
+    answer.erase("b");
+    answer.erase("p");
+    answer["doc"] = sync.current->document;
+    return answer.dump();
+}
+
+result<bool> receive_config(config_sync& sync, std::string_view body, time_point now) {
+    sync.fetching.reset();
+    try {
+        auto answer = json::parse(body);
+        versioned_document next{answer.at("v").get<std::uint64_t>(), answer.at("g").get<std::string>(), {}};
+        if (sync.current && next.version <= sync.current->version) {
+            sync.wanted.reset();
+            return false;
+        }
+        if (const auto doc = answer.find("doc"); doc != answer.end()) {
+            next.document = std::move(*doc);
+        } else if (!sync.current || answer.at("b") != sync.current->version) {
+            // Another version was taken while the patches were on their way.
+            return false;
+        } else {
+            next.document = sync.current->document.patch(answer.at("p"));
+        }
+        auto taken = take_document(sync, std::move(next));
+        if (!taken) {
+            sync.fetch_whole = true;
+            sync.fetch_after = now + fetch_retry_delay;
+            sync.wanted.reset();
+        }
+        return taken;
+    } catch (const json::exception& ex) {
+        sync.fetch_whole = true;
+        sync.fetch_after = now + fetch_retry_delay;
+        return error{error_kind::malformed,
+                     std::string{"an answer with a configuration is malformed: "} + ex.what(),
+                     "check that all nodes run the same version"};
+    }
+}
+
+void config_fetch_failed(config_sync& sync, time_point now) {
+    sync.fetching.reset();
+    // The next message from a node that holds the version names it again.
+    sync.wanted.reset();
+    sync.fetch_after = now + fetch_retry_delay;
+}
+
+std::vector<std::string> domain_watchers(const member_table& members, std::string_view domain) {
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    for (const auto& [node, it] : members) {
+        if (it.domain == domain && it.state != target_state::down) {
+            const auto key = node + "|" + it.domain;
+            ranked.emplace_back(XXH64(key.data(), key.size(), 0), node);
+        }
+    }
+    std::sort(ranked.rbegin(), ranked.rend());
+    std::vector<std::string> watchers;
+    for (const auto& [rank, node] : ranked) {
+        if (watchers.size() < watchers_per_domain) {
+            watchers.push_back(node);
+        }
+    }
+    return watchers;
+}
+
+result<config_poll> poll_config(object_store& store, std::uint64_t revision, milliseconds wait) {
+    auto changes = revision == 0 ? store.list(config_object) : store.watch(config_object, revision, wait);
+    if (!changes) {
+        return changes.error();
+    }
+    config_poll poll{changes.value().revision, std::nullopt};
+    const auto& objects = changes.value().objects;
+    const bool changed = std::any_of(objects.begin(), objects.end(), [](const object_version& it) {
+        return it.name == config_object && it.version != 0;
+    });
+    if (!changed) {
+        return poll;
+    }
+    auto object = store.get(config_object);
+    if (!object) {
+        if (object.error().kind == error_kind::not_found) {
+            return poll;
+        }
+        return object.error();
+    }
+    poll.value = std::move(object.value().value);
+    return poll;
+}
+
+duration store_backoff(unsigned failures, std::mt19937_64& rng) {
+    constexpr unsigned doublings = 8;
+    const auto greatest = std::min(first_backoff * (1U << std::min(failures, doublings)), greatest_backoff);
+    return milliseconds{std::uniform_int_distribution<std::int64_t>{0, greatest.count()}(rng)};
+}
+
+} // namespace baobabswitch
--- /dev/null
+++ b/src/libbaobabswitch/gossip.cpp
@@ -0,0 +1,730 @@
+#include "gossip.h"
+
+#include "log.h"
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <bit>
+#include <cstdio>
+
+namespace baobabswitch {
+
+namespace {
+
+using json = nlohmann::json;
+using std::chrono::seconds;
+
+constexpr std::size_t max_row_bytes = 1024;   ///< entries in one message (design §6)
+constexpr std::size_t max_config_bytes = 256; ///< configuration versions of members in one message
+/// Part of the budget that only answers use: a peer without an answer takes this node for silent.
+constexpr std::size_t answer_reserve_bytes = 1000;
+constexpr std::size_t push_peers = 4;
+constexpr std::size_t first_round_peers = 3; ///< a new node asks three peers (design §7)
+constexpr unsigned outside_period = 5;       ///< every fifth exchange leaves the failure domain
+constexpr unsigned reconnect_period = 2;     ///< rounds between attempts to reach a silent domain
+constexpr unsigned down_retry_period = 10;   ///< rounds between attempts to reach other silent members
+constexpr unsigned slice_period = 4;         ///< rounds between slice exchanges while changes spread
+constexpr unsigned max_slices_per_round = 6;
+constexpr std::size_t max_suspects_per_round = 2;
+constexpr std::size_t max_members = 2048;
+constexpr std::size_t slice_digits = 6;
+/// More differing slices than this may hold more entries than one message does.
+constexpr std::size_t slices_in_one_message = 12;
+constexpr duration down_after = seconds{5};
+constexpr duration recently = seconds{3}; ///< a sign of life this old still counts for others
+/// Bounds how long a member that dies after it was vouched for goes unnoticed here.
+constexpr duration avoid_for = seconds{15};
+constexpr duration pause_limit = seconds{3}; ///< a longer gap between rounds means the process stood still
+/// A partition of a domain for an hour must not make its members unknown to the other side.
+constexpr duration forget_after = std::chrono::hours{2};
+
+std::uint64_t hash(std::string_view text) {
+    return XXH64(text.data(), text.size(), 0);
+}
+
+std::uint64_t entry_hash(const member& it) {
+    return hash(it.node + "|" + std::to_string(it.incarnation) + "|" + std::to_string(it.version) + "|" +
+                std::to_string(static_cast<int>(it.state)));
+}
+
+std::size_t slice_of(std::string_view node) {
+    return hash(node) % gossip_slices;
+}
+
+std::string hex(std::uint64_t value, std::size_t digits) {
+    std::array<char, 17> buf{};
+    std::snprintf(buf.data(), buf.size(), "%016llx", static_cast<unsigned long long>(value));
+    return std::string{buf.data()}.substr(16 - digits);
+}
+
+std::string slice_digests(const gossip_state& state) {
+    std::string text;
+    for (const auto it : state.slices) {
+        text += hex(it, slice_digits);
+    }
+    return text;
+}
+
+std::size_t live_count(const gossip_state& state) {
+    return static_cast<std::size_t>(std::count_if(state.members.begin(), state.members.end(), [](auto& it) {
+        return it.second.state != target_state::down;
+    }));
+}
+
+/// Messages that carry a change before it counts as spread; the digests find the nodes that missed it.
+unsigned spread_limit(const gossip_state& state) {
+    return 2 + static_cast<unsigned>(std::bit_width(state.members.size()));
+}
+
+bool spreads_changes(const gossip_state& state) {
+    const auto limit = spread_limit(state);
+    return std::any_of(state.contacts.begin(), state.contacts.end(),
+                       [&](const auto& it) { return it.second.sent < limit; });
+}
+
+/// Returns the greatest length of an entry as text: its names, and its numbers and punctuation.
+std::size_t row_bytes(const member& entry) {
+    constexpr std::size_t fixed_bytes = 60;
+    return entry.node.size() + entry.domain.size() + entry.service.size() + entry.address.host.size() +
+           fixed_bytes;
+}
+
+/// Adds the entries that were sent least since they changed, the latest change first.
+void add_changes(gossip_state& state, json& message, std::size_t max_bytes) {
+    const auto limit = spread_limit(state);
+    std::vector<std::pair<member_contact*, const member*>> changes;
+    for (auto& [node, it] : state.contacts) {
+        if (it.sent < limit) {
+            changes.emplace_back(&it, &state.members.find(node)->second);
+        }
+    }
+    std::sort(changes.begin(), changes.end(), [](const auto& a, const auto& b) {
+        return std::tuple{a.first->sent, b.first->changed, a.second->node} <
+               std::tuple{b.first->sent, a.first->changed, b.second->node};
+    });
+    auto rows = json::array();
+    std::size_t bytes = 0;
+    for (const auto& [contact, entry] : changes) {
+        bytes += row_bytes(*entry);
+        if (bytes > max_bytes) {
+            break;
+        }
+        rows.push_back(to_json(*entry));
+        ++contact->sent;
+    }
+    if (!rows.empty()) {
+        message["m"] = std::move(rows);
+    }
+}
+
+/// Adds configuration versions in force of this domain's members; only its first watcher reports them.
+void add_versions(gossip_state& state, json& message) {
+    const auto limit = spread_limit(state);
+    auto versions = json::object();
+    std::size_t bytes = 0;
+    for (auto& [node, it] : state.contacts) {
+        if (it.config_sent >= limit || bytes >= max_config_bytes) {
+            continue;
+        }
+        const auto& entry = state.members.find(node)->second;
+        if (entry.domain == state.domain) {
+            versions[node] = entry.config_version;
+            bytes += node.size() + 8;
+            ++it.config_sent;
+        }
+    }
+    if (!versions.empty()) {
+        message["e"] = std::move(versions);
+    }
+}
+
+json make_message(gossip_state& state, std::string_view peer, std::size_t row_bytes) {
+    json message{{"f", state.self}, {"d", table_digest(state)}, {"n", live_count(state)}};
+    if (!state.config.digest.empty()) {
+        message["c"] = {state.config.version, state.config.digest};
+    }
+    add_changes(state, message, row_bytes);
+    const auto it = state.members.find(peer);
+    if (it != state.members.end() && it->second.domain == state.domain) {
+        add_versions(state, message);
+    }
+    return message;
+}
+
+/// Queues a message if the byte budget allows it.
+bool queue(gossip_state& state, peer_messages& out, const endpoint& to, std::string node, const json& message,
+           time_point now) {
+    auto body = message.dump();
+    const auto bytes = body.size() + request_overhead_bytes;
+    if (available(state.budget, now) < bytes + answer_reserve_bytes) {
+        return false;
+    }
+    spend(state.budget, bytes, now);
+    state.bytes_sent += bytes;
+    out.push_back({to, std::move(node), std::move(body)});
+    return true;
+}
+
+std::size_t affordable_row_bytes(gossip_state& state, time_point now) {
+    constexpr auto reserved = answer_reserve_bytes + 2 * request_overhead_bytes;
+    const auto left = available(state.budget, now);
+    return std::min(max_row_bytes, left - std::min(left, reserved));
+}
+
+void start_exchange(gossip_state& state, peer_messages& out, const endpoint& to, const std::string& node,
+                    time_point now) {
+    if (available(state.budget, now) < 2 * request_overhead_bytes) {
+        return;
+    }
+    queue(state, out, to, node, make_message(state, node, affordable_row_bytes(state, now)), now);
+}
+
+/// Sends the changes of this node's own state on at once. `u` asks the receiver to push news on.
+void push_changes(gossip_state& state, peer_messages& out, const json& rows, time_point now) {
+    json message{{"f", state.self}, {"u", 1}};
+    if (!rows.empty()) {
+        message["m"] = rows;
+    }
+    if (!state.config.digest.empty()) {
+        message["c"] = {state.config.version, state.config.digest};
+    }
+    for (const auto* it : random_peers(state, push_peers, now)) {
+        queue(state, out, it->address, it->node, message, now);
+    }
+}
+
+void mark_changed(gossip_state& state, const std::string& node, time_point now) {
+    auto& contact = state.contacts[node];
+    contact.changed = now;
+    contact.sent = 0;
+    contact.config_sent = 0;
+    const auto& entry = state.members.find(node)->second;
+    const auto now_hash = entry.state == target_state::down ? 0 : entry_hash(entry);
+    state.slices.at(slice_of(node)) ^= contact.hash ^ now_hash;
+    contact.hash = now_hash;
+    ++state.revision;
+}
+
+/// Answers a report about the node itself that is not its own.
+void refute(gossip_state& state, const member& report, json& pushed, time_point now) {
+    auto& own = state.members.find(state.self)->second;
+    if (report.incarnation > own.incarnation) {
+        if (!state.replaced) {
+            log(log_level::error, "membership", "another process uses this node's id; give each its own",
+                {{"node", state.self}});
+        }
+        state.replaced = true;
+        return;
+    }
+    if (!is_newer(report, own)) {
+        // An older report means that its sender has missed this node's entry.
+        state.contacts[state.self].sent = 0;
+        return;
+    }
+    own.version = report.version + 1;
+    mark_changed(state, state.self, now);
+    pushed.push_back(to_json(own));
+}
+
+/// Takes over an entry; `news` gets it if it was new, `pushed` what the node answers about itself.
+void take_entry(gossip_state& state, const member& entry, json* news, json& pushed, time_point now) {
+    if (entry.node == state.self) {
+        if (state.members.find(state.self)->second.incarnation != entry.incarnation ||
+            state.members.find(state.self)->second.version != entry.version ||
+            state.members.find(state.self)->second.state != entry.state) {
+            refute(state, entry, pushed, now);
+        }
+        return;
+    }
+    const auto known = state.members.find(entry.node);
+    if (known == state.members.end() &&
+        (entry.state == target_state::down || state.members.size() >= max_members)) {
+        return;
+    }
+    const auto before = known == state.members.end() ? member{} : known->second;
+    if (!merge(state.members, entry)) {
+        if (state.members.find(entry.node)->second.config_version != before.config_version) {
+            state.contacts[entry.node].config_sent = 0;
+        }
+        return;
+    }
+    check(*state.invariants, invariant::member_monotonic, is_newer(entry, before),
+          "member " + entry.node + " went back");
+    auto& contact = state.contacts[entry.node];
+    if (entry.state != target_state::down) {
+        contact.suspected.reset();
+    }
+    if (entry.incarnation != before.incarnation) {
+        contact.avoid_until = {};
+    }
+    mark_changed(state, entry.node, now);
+    if (news != nullptr) {
+        news->push_back(to_json(entry));
+    }
+}
+
+/// Records a sign of life from a member and tells those who asked to have it reached.
+void heard_from(gossip_state& state, const std::string& node, peer_messages& out, time_point now) {
+    state.last_answer = now;
+    if (!state.members.contains(node) || node == state.self) {
+        return;
+    }
+    auto& contact = state.contacts[node];
+    contact.heard = now;
+    contact.suspected.reset();
+    contact.avoid_until = {};
+    const auto it = state.reach_requests.find(node);
+    if (it != state.reach_requests.end()) {
+        if (now <= it->second.until) {
+            queue(state, out, it->second.requester, it->second.requester_node,
+                  {{"f", state.self}, {"k", {node}}}, now);
+        }
+        state.reach_requests.erase(it);
+    }
+}
+
+bool recently_heard(const member_contact& it, time_point now) {
+    return it.heard != time_point{} && now - it.heard < recently;
+}
+
+/// Another node reaches these members, so they are not down; this node leaves them out of its exchanges.
+void accept_vouchers(gossip_state& state, const json& nodes, time_point now) {
+    for (const auto& node : nodes) {
+        const auto it = state.contacts.find(node.get_ref<const std::string&>());
+        if (it != state.contacts.end() && it->second.suspected) {
+            it->second.suspected.reset();
+            it->second.avoid_until = now + avoid_for;
+        }
+    }
+}
+
+/// Answers which of the members were heard of, and tries to reach the others for the sender.
+json vouch(gossip_state& state, const json& nodes, const std::string& sender, peer_messages& out,
+           time_point now) {
+    auto vouched = json::array();
+    const auto requester = state.members.find(sender);
+    for (const auto& node : nodes) {
+        const auto& name = node.get_ref<const std::string&>();
+        const auto contact = state.contacts.find(name);
+        if (contact == state.contacts.end() || name == state.self) {
+            continue;
+        }
+        if (recently_heard(contact->second, now)) {
+            vouched.push_back(name);
+        } else if (requester != state.members.end()) {
+            const bool trying = state.reach_requests.contains(name);
+            state.reach_requests[name] = {requester->second.address, sender, now + recently};
+            if (!trying) {
+                start_exchange(state, out, state.members.find(name)->second.address, name, now);
+            }
+        }
+    }
+    return vouched;
+}
+
+void hear_config(gossip_state& state, const json& message, const endpoint& from) {
+    const auto it = message.find("c");
+    if (it == message.end()) {
+        return;
+    }
+    config_mark mark{it->at(0).get<std::uint64_t>(), it->at(1).get<std::string>()};
+    const bool newer = state.config.digest.empty() || mark.version > state.config.version;
+    if (newer && (!state.news || mark.version >= state.news->mark.version)) {
+        state.news = config_news{from, std::move(mark)};
+    }
+}
+
+/// Takes over what any message or answer carries. Throws json exceptions on malformed input.
+void take_message(gossip_state& state, const json& message, const std::optional<endpoint>& from,
+                  peer_messages& out, time_point now) {
+    const auto sender = message.at("f").get<std::string>();
+    auto pushed = json::array();
+    auto* news = message.contains("u") ? &pushed : nullptr;
+    if (const auto it = message.find("m"); it != message.end()) {
+        for (const auto& row : *it) {
+            if (const auto entry = member_from_json(row)) {
+                take_entry(state, entry.value(), news, pushed, now);
+            }
+        }
+    }
+    if (const auto it = message.find("e"); it != message.end()) {
+        for (const auto& [node, version] : it->items()) {
+            const auto known = state.members.find(node);
+            if (known != state.members.end() && node != state.self &&
+                known->second.config_version < version.get<std::uint64_t>()) {
+                known->second.config_version = version.get<std::uint64_t>();
+                state.contacts[node].config_sent = 0;
+            }
+        }
+    }
+    heard_from(state, sender, out, now);
+    if (const auto it = message.find("k"); it != message.end()) {
+        accept_vouchers(state, *it, now);
+    }
+    const auto known = state.members.find(sender);
+    if (from) {
+        hear_config(state, message, *from);
+    } else if (known != state.members.end()) {
+        hear_config(state, message, known->second.address);
+    }
+    if (!pushed.empty()) {
+        push_changes(state, out, pushed, now);
+    }
+}
+
+/// Adds the entries of the given slices, starting at a random one so that repeats cover all of them.
+void add_slices(gossip_state& state, json& message, const std::vector<std::size_t>& slices,
+                std::size_t max_bytes, const json& known) {
+    auto rows = json::array();
+    std::size_t bytes = 0;
+    if (!slices.empty()) {
+        const auto first = state.rng() % slices.size();
+        for (std::size_t n = 0; n < slices.size(); ++n) {
+            const auto slice = slices.at((first + n) % slices.size());
+            for (const auto& [node, it] : state.members) {
+                if (slice_of(node) != slice) {
+                    continue;
+                }
+                auto row = to_json(it);
+                const auto size = row_bytes(it);
+                if (std::find(known.begin(), known.end(), row) == known.end() && bytes + size <= max_bytes) {
+                    bytes += size;
+                    rows.push_back(std::move(row));
+                }
+            }
+        }
+    }
+    if (!rows.empty()) {
+        message["m"] = std::move(rows);
+    }
+}
+
+void request_slices(gossip_state& state, peer_messages& out, const peer_message& peer, time_point now) {
+    constexpr std::size_t least_bytes = 2 * (max_row_bytes + request_overhead_bytes);
+    if (state.slices_this_round >= max_slices_per_round || available(state.budget, now) < least_bytes) {
+        return;
+    }
+    ++state.slices_this_round;
+    queue(state, out, peer.to, peer.node, {{"f", state.self}, {"h", slice_digests(state)}}, now);
+}
+
+void declare_down(gossip_state& state, time_point now) {
+    // A node that hears from nobody can't tell who is down.
+    if (now - state.last_answer >= down_after) {
+        return;
+    }
+    for (auto& [node, it] : state.members) {
+        auto& contact = state.contacts[node];
+        if (!contact.suspected || now - *contact.suspected < down_after || it.state == target_state::down) {
+            continue;
+        }
+        it.state = target_state::down;
+        ++it.version;
+        contact.suspected.reset();
+        mark_changed(state, node, now);
+    }
+}
+
+void forget_members(gossip_state& state, time_point now) {
+    std::vector<std::pair<time_point, std::string>> down;
+    for (const auto& [node, it] : state.members) {
+        if (it.state == target_state::down) {
+            down.emplace_back(state.contacts[node].changed, node);
+        }
+    }
+    std::sort(down.begin(), down.end());
+    for (const auto& [changed, node] : down) {
+        if (now - changed < forget_after && state.members.size() < max_members) {
+            break;
+        }
+        state.members.erase(node);
+        state.contacts.erase(node);
+        ++state.revision;
+    }
+}
+
+bool may_exchange(const gossip_state& state, const member& it, time_point now) {
+    if (it.node == state.self || it.state == target_state::down) {
+        return false;
+    }
+    const auto contact = state.contacts.find(it.node);
+    return contact == state.contacts.end() || contact->second.avoid_until <= now;
+}
+
+template <class Item>
+const Item* pick(gossip_state& state, const std::vector<Item>& items) {
+    if (items.empty()) {
+        return nullptr;
+    }
+    return &items.at(std::uniform_int_distribution<std::size_t>{0, items.size() - 1}(state.rng));
+}
+
+const member* choose_peer(gossip_state& state, bool outside, time_point now) {
+    std::vector<const member*> found;
+    for (const auto& [node, it] : state.members) {
+        if (may_exchange(state, it, now) && (it.domain != state.domain) == outside) {
+            found.push_back(&it);
+        }
+    }
+    const auto* chosen = pick(state, found);
+    return chosen == nullptr ? nullptr : *chosen;
+}
+
+/// Tries to reach a domain without any live member, a first peer that nobody lives at, or a member that is
+/// down, so that the parts of a healed partition find each other.
+void reconnect(gossip_state& state, peer_messages& out, time_point now) {
+    std::map<std::string, bool> domain_lives;
+    std::vector<endpoint> live;
+    for (const auto& [node, it] : state.members) {
+        const bool lives = it.state != target_state::down;
+        domain_lives[it.domain] = domain_lives[it.domain] || lives;
+        if (lives) {
+            live.push_back(it.address);
+        }
+    }
+    std::vector<endpoint> targets;
+    for (const auto& [node, it] : state.members) {
+        if (it.state == target_state::down &&
+            (!domain_lives[it.domain] || state.round % down_retry_period == 0)) {
+            targets.push_back(it.address);
+        }
+    }
+    for (const auto& it : state.first_peers) {
+        if (std::find(live.begin(), live.end(), it) == live.end()) {
+            targets.push_back(it);
+        }
+    }
+    if (const auto* it = pick(state, targets)) {
+        start_exchange(state, out, *it, "", now);
+    }
+}
+
+/// Repeats the exchange with suspects and asks another node to reach them.
+void verify_suspects(gossip_state& state, peer_messages& out, time_point now) {
+    std::size_t n = 0;
+    for (const auto& [node, contact] : state.contacts) {
+        if (!contact.suspected || n == max_suspects_per_round) {
+            continue;
+        }
+        ++n;
+        const auto& suspect = state.members.find(node)->second;
+        start_exchange(state, out, suspect.address, node, now);
+        std::vector<const member*> found;
+        for (const auto& [name, it] : state.members) {
+            if (name != node && may_exchange(state, it, now) && !state.contacts[name].suspected) {
+                found.push_back(&it);
+            }
+        }
+        // A node in a third domain is the most likely to reach both sides of a cut.
+        const auto third = [&](const member* it) {
+            return it->domain != state.domain && it->domain != suspect.domain;
+        };
+        if (std::any_of(found.begin(), found.end(), third) && state.round % 2 == 0) {
+            std::erase_if(found, [&](const member* it) { return !third(it); });
+        }
+        if (const auto* it = pick(state, found)) {
+            queue(state, out, (*it)->address, (*it)->node, {{"f", state.self}, {"q", {node}}}, now);
+        }
+    }
+}
+
+error malformed(std::string_view detail) {
+    return {error_kind::malformed, "a gossip message is malformed: " + std::string{detail},
+            "check that all nodes run the same version"};
+}
+
+} // namespace
+
+std::string table_digest(const gossip_state& state) {
+    std::uint64_t sum = 0;
+    for (const auto it : state.slices) {
+        sum ^= it;
+    }
+    return hex(sum, 16);
+}
+
+gossip_state make_gossip_state(const member& own, std::vector<endpoint> first_peers, std::uint64_t seed,
+                               invariant_table& invariants) {
+    gossip_state state;
+    state.self = own.node;
+    state.domain = own.domain;
+    state.members[own.node] = own;
+    mark_changed(state, own.node, {});
+    std::erase(first_peers, own.address);
+    state.first_peers = std::move(first_peers);
+    state.rng.seed(seed);
+    state.invariants = &invariants;
+    return state;
+}
+
+std::vector<const member*> random_peers(gossip_state& state, std::size_t n, time_point now) {
+    std::vector<const member*> found;
+    for (const auto& [node, it] : state.members) {
+        if (may_exchange(state, it, now)) {
+            found.push_back(&it);
+        }
+    }
+    std::shuffle(found.begin(), found.end(), state.rng);
+    found.resize(std::min(found.size(), n));
+    return found;
+}
+
+peer_messages gossip_round(gossip_state& state, time_point now) {
+    if (state.last_round != time_point{} && now - state.last_round > pause_limit) {
+        // This process stood still, so the silence of the others proves nothing.
+        for (auto& [node, it] : state.contacts) {
+            it.suspected.reset();
+        }
+    }
+    state.last_round = now;
+    ++state.round;
+    state.slices_this_round = 0;
+    std::erase_if(state.reach_requests, [&](const auto& it) { return it.second.until < now; });
+    declare_down(state, now);
+    forget_members(state, now);
+    peer_messages out;
+    const bool outside = state.round % outside_period == 0;
+    const auto* peer = choose_peer(state, outside, now);
+    if (peer == nullptr) {
+        peer = choose_peer(state, !outside, now);
+    }
+    if (peer != nullptr) {
+        start_exchange(state, out, peer->address, peer->node, now);
+        verify_suspects(state, out, now);
+    } else {
+        auto first = state.first_peers;
+        std::shuffle(first.begin(), first.end(), state.rng);
+        first.resize(std::min(first.size(), first_round_peers));
+        for (const auto& it : first) {
+            start_exchange(state, out, it, "", now);
+        }
+    }
+    if (state.round % reconnect_period == 0) {
+        reconnect(state, out, now);
+    }
+    return out;
+}
+
+peer_messages set_own_entry(gossip_state& state, const member& own, time_point now) {
+    auto& entry = state.members.find(state.self)->second;
+    peer_messages out;
+    if (entry.service == own.service && entry.state == own.state && entry.slots == own.slots &&
+        entry.address == own.address) {
+        return out;
+    }
+    const bool urgent = entry.state != own.state;
+    entry.service = own.service;
+    entry.state = own.state;
+    entry.slots = own.slots;
+    entry.address = own.address;
+    ++entry.version;
+    mark_changed(state, state.self, now);
+    if (urgent) {
+        push_changes(state, out, json::array({to_json(entry)}), now);
+    }
+    return out;
+}
+
+peer_messages set_own_config(gossip_state& state, config_mark mark, bool push, time_point now) {
+    peer_messages out;
+    state.config = std::move(mark);
+    state.members.find(state.self)->second.config_version = state.config.version;
+    state.contacts[state.self].config_sent = 0;
+    if (state.news && state.news->mark.version <= state.config.version) {
+        state.news.reset();
+    }
+    if (push) {
+        push_changes(state, out, json::array(), now);
+    }
+    return out;
+}
+
+result<gossip_answer> receive_gossip(gossip_state& state, std::string_view body, time_point now) {
+    try {
+        const auto message = json::parse(body);
+        gossip_answer answer;
+        const auto sender = message.at("f").get<std::string>();
+        take_message(state, message, std::nullopt, answer.messages, now);
+        json reply{{"f", state.self}};
+        if (const auto it = message.find("q"); it != message.end()) {
+            reply["k"] = vouch(state, *it, sender, answer.messages, now);
+        }
+        if (const auto it = message.find("h"); it != message.end()) {
+            const auto& theirs = it->get_ref<const std::string&>();
+            const auto ours = slice_digests(state);
+            if (theirs.size() != ours.size()) {
+                return malformed("slice digests of another length");
+            }
+            std::vector<std::size_t> slices;
+            for (std::size_t n = 0; n < gossip_slices; ++n) {
+                if (ours.compare(n * slice_digits, slice_digits, theirs, n * slice_digits, slice_digits) !=
+                    0) {
+                    slices.push_back(n);
+                }
+            }
+            add_slices(state, reply, slices, affordable_row_bytes(state, now), json::array());
+            reply["z"] = slices;
+        } else if (message.contains("d") && available(state.budget, now) >= 2 * request_overhead_bytes) {
+            reply = make_message(state, sender, affordable_row_bytes(state, now));
+        }
+        answer.body = reply.dump();
+        const auto bytes = answer.body.size() + answer_overhead_bytes;
+        spend_on_answer(state.budget, bytes, now);
+        state.bytes_sent += bytes;
+        return answer;
+    } catch (const json::exception& ex) {
+        return malformed(ex.what());
+    }
+}
+
+peer_messages receive_gossip_answer(gossip_state& state, const peer_message& sent, std::string_view body,
+                                    time_point now) {
+    peer_messages out;
+    try {
+        const auto message = json::parse(body);
+        const auto sender = message.at("f").get<std::string>();
+        if (!sent.node.empty() && sender != sent.node) {
+            // Another node answers under the address, so the expected one is gone.
+            exchange_failed(state, sent, now);
+        }
+        take_message(state, message, sent.to, out, now);
+        const peer_message peer{sent.to, sender, ""};
+        if (const auto it = message.find("z"); it != message.end()) {
+            const auto slices = it->get<std::vector<std::size_t>>();
+            json rest{{"f", state.self}};
+            add_slices(state, rest, slices, affordable_row_bytes(state, now),
+                       message.value("m", json::array()));
+            if (rest.contains("m")) {
+                queue(state, out, peer.to, peer.node, rest, now);
+            }
+            if (slices.size() > slices_in_one_message) {
+                request_slices(state, out, peer, now);
+            }
+        } else if (message.contains("d") && message.at("d") != table_digest(state)) {
+            const auto theirs = message.value("n", std::size_t{0});
+            const bool far_behind = 10 * live_count(state) < 9 * theirs;
+            if (far_behind || state.round % slice_period == 0 || !spreads_changes(state)) {
+                request_slices(state, out, peer, now);
+            }
+        }
+    } catch (const json::exception& ex) {
+        log(log_level::warning, "membership", malformed(ex.what()).message, {{"peer", to_string(sent.to)}});
+    }
+    return out;
+}
+
+void exchange_failed(gossip_state& state, const peer_message& sent, time_point now) {
+    const auto it = state.members.find(sent.node);
+    if (it == state.members.end() || it->second.state == target_state::down || sent.node == state.self) {
+        return;
+    }
+    auto& contact = state.contacts[sent.node];
+    if (!contact.suspected && contact.avoid_until <= now) {
+        contact.suspected = now;
+    }
+}
+
+} // namespace baobabswitch
--- a/src/libbaobabswitch/membership.cpp
+++ b/src/libbaobabswitch/membership.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <tuple>
 
@@ -17,49 +18,57 @@
     return state_names.at(static_cast<std::size_t>(state));
 }
 
+bool is_newer(const member& entry, const member& than) {
+    return std::tie(entry.incarnation, entry.version, entry.state) >
+           std::tie(than.incarnation, than.version, than.state);
+}
+
 bool merge(member_table& table, const member& entry) {
-    const auto it = table.find(entry.node);
-    if (it == table.end()) {
-        table.emplace(entry.node, entry);
+    const auto [it, inserted] = table.try_emplace(entry.node, entry);
+    if (inserted) {
         return true;
     }
-    if (std::tie(entry.incarnation, entry.version) <= std::tie(it->second.incarnation, it->second.version)) {
+    auto& known = it->second;
+    const auto in_force = entry.incarnation == known.incarnation
+                              ? std::max(entry.config_version, known.config_version)
+                              : entry.config_version;
+    if (!is_newer(entry, known)) {
+        if (entry.incarnation == known.incarnation) {
+            known.config_version = in_force;
+        }
         return false;
     }
-    it->second = entry;
+    known = entry;
+    known.config_version = in_force;
     return true;
 }
 
 nlohmann::json to_json(const member& entry) {
-    return {{"n", entry.node},
-            {"i", entry.incarnation},
-            {"v", entry.version},
-            {"a", to_string(entry.address)},
-            {"d", entry.domain},
-            {"s", entry.service},
-            {"t", static_cast<int>(entry.state)},
-            {"l", entry.slots}};
+    return nlohmann::json::array({entry.node, entry.incarnation, entry.version, to_string(entry.address),
+                                  entry.domain, entry.service, static_cast<int>(entry.state), entry.slots,
+                                  entry.config_version});
 }
 
 result<member> member_from_json(const nlohmann::json& value) {
     try {
         member entry;
-        value.at("n").get_to(entry.node);
-        value.at("i").get_to(entry.incarnation);
-        value.at("v").get_to(entry.version);
-        auto address = parse_endpoint(value.at("a").get<std::string>());
+        value.at(0).get_to(entry.node);
+        value.at(1).get_to(entry.incarnation);
+        value.at(2).get_to(entry.version);
+        auto address = parse_endpoint(value.at(3).get<std::string>());
         if (!address) {
             return address.error();
         }
         entry.address = address.value();
-        value.at("d").get_to(entry.domain);
-        value.at("s").get_to(entry.service);
-        const auto state = value.at("t").get<std::size_t>();
+        value.at(4).get_to(entry.domain);
+        value.at(5).get_to(entry.service);
+        const auto state = value.at(6).get<std::size_t>();
         if (state >= state_names.size()) {
             return error{error_kind::malformed, "a member has an unknown state", "update this node"};
         }
         entry.state = static_cast<target_state>(state);
-        value.at("l").get_to(entry.slots);
+        value.at(7).get_to(entry.slots);
+        value.at(8).get_to(entry.config_version);
         return entry;
     } catch (const nlohmann::json::exception& ex) {
         return error{error_kind::malformed, std::string{"a member entry is malformed: "} + ex.what(),
--- a/src/libbaobabswitch/membership.h
+++ b/src/libbaobabswitch/membership.h
@@ -30,14 +30,23 @@
     std::string service;
     target_state state = target_state::none;
     std::size_t slots = 0;
+    /// Configuration version in force at the node. It grows within an incarnation and doesn't count as a
+    /// change of the entry.
+    std::uint64_t config_version = 0;
 };
 
 /// All members that this node knows, by node id.
 using member_table = std::map<std::string, member, std::less<>>;
 
-/// Takes over an entry that is newer (higher incarnation, then higher version) and reports whether it was.
+/// Orders entries of one node: by incarnation, then version, then state. The state settles the race between
+/// a node's own change and another node's report that it is down, which may carry the same version.
+bool is_newer(const member& entry, const member& than);
+
+/// Takes over an entry that is newer than the known one and reports whether it was.
 bool merge(member_table& table, const member& entry);
 
+/// Returns the compact form [node, incarnation, version, address, domain, service, state, slots,
+/// configuration version].
 nlohmann::json to_json(const member& entry);
 /// Fails with malformed when a field is missing or of the wrong type.
 result<member> member_from_json(const nlohmann::json& value);
--- /dev/null
+++ b/src/libbaobabswitch/sharing.cpp
@@ -0,0 +1,308 @@
+#include "sharing.h"
+
+#include "log.h"
+
+#include <algorithm>
+
+namespace baobabswitch {
+
+namespace {
+
+using json = nlohmann::json;
+using std::chrono::seconds;
+
+/// A node that stops waits for its long poll, so the wait is well below the time that a stop may take.
+constexpr milliseconds poll_wait{5000};
+constexpr duration status_period = seconds{2};
+constexpr duration status_lifetime = seconds{10};
+/// Time for peers to answer before a node without a configuration or peers asks the platform; it spreads the
+/// reads when a whole domain starts.
+constexpr milliseconds platform_delay{1000};
+
+void finish(sharing_state& state, sharing_effects& effects, time_point now) {
+    if (state.gossip.news) {
+        hear_of_config(state.config, *state.gossip.news);
+        state.gossip.news.reset();
+    }
+    if (available(state.gossip.budget, now) < request_overhead_bytes) {
+        return;
+    }
+    if (const auto fetch = next_config_fetch(state.config, now)) {
+        spend(state.gossip.budget, request_overhead_bytes, now);
+        state.gossip.bytes_sent += request_overhead_bytes;
+        effects.fetches.push_back(*fetch);
+    }
+}
+
+void config_taken(sharing_state& state, sharing_effects& effects, time_point now) {
+    effects.new_config = true;
+    auto pushed = set_own_config(state.gossip, held_mark(state.config), true, now);
+    std::move(pushed.begin(), pushed.end(), std::back_inserter(effects.gossip));
+}
+
+bool has_live_peer(const sharing_state& state) {
+    return std::any_of(state.gossip.members.begin(), state.gossip.members.end(), [&](const auto& it) {
+        return it.first != state.gossip.self && it.second.state != target_state::down;
+    });
+}
+
+json status_of(const sharing_state& state) {
+    auto members = json::array();
+    std::optional<std::uint64_t> least;
+    std::uint64_t greatest = 0;
+    for (const auto& [node, it] : state.gossip.members) {
+        if (it.domain != state.gossip.domain) {
+            continue;
+        }
+        members.push_back({{"node", node},
+                           {"service", it.service},
+                           {"state", target_state_name(it.state)},
+                           {"address", to_string(it.address)}});
+        if (it.state != target_state::down) {
+            least = std::min(least.value_or(it.config_version), it.config_version);
+            greatest = std::max(greatest, it.config_version);
+        }
+    }
+    return {{"domain", state.gossip.domain},
+            {"writer", state.gossip.self},
+            {"members", std::move(members)},
+            {"least_version", least.value_or(0)},
+            {"greatest_version", greatest}};
+}
+
+void call_platform(sharing_state& state, sharing_effects& effects, std::uint64_t wall_ms, time_point now) {
+    if (!state.has_platform || state.stopping) {
+        return;
+    }
+    const auto watchers = domain_watchers(state.gossip.members, state.gossip.domain);
+    const bool watcher = std::find(watchers.begin(), watchers.end(), state.gossip.self) != watchers.end();
+    const bool lacks_config = !state.config.current;
+    if (!state.polling && now >= state.poll_after && (watcher || lacks_config)) {
+        state.polling = true;
+        effects.poll = config_poll_call{watcher ? state.poll_revision : 0, poll_wait};
+    }
+    if (!state.reading_peers && now >= state.peers_after && !has_live_peer(state)) {
+        state.reading_peers = true;
+        effects.read_first_peers = true;
+    }
+    if (watchers.empty() || watchers.front() != state.gossip.self || state.writing_status ||
+        now < state.status_after) {
+        return;
+    }
+    auto status = status_of(state);
+    auto text = status.dump();
+    const bool due = now - state.status_at >= status_lifetime ||
+                     (text != state.status_written && now - state.status_at >= status_period);
+    if (state.status_at != time_point{} && !due) {
+        return;
+    }
+    state.writing_status = true;
+    state.status_written = std::move(text);
+    state.status_at = now;
+    status["time"] = wall_ms;
+    effects.status = status_write_call{std::string{status_prefix} + state.gossip.domain, status.dump(),
+                                       state.status_version};
+}
+
+} // namespace
+
+sharing_state make_sharing_state(const member& own, std::vector<endpoint> seeds, bool has_platform,
+                                 std::uint64_t seed, invariant_table& invariants, time_point now) {
+    sharing_state state;
+    state.gossip = make_gossip_state(own, std::move(seeds), seed, invariants);
+    state.gossip.budget.updated = now;
+    state.config.invariants = &invariants;
+    state.has_platform = has_platform;
+    state.started = now;
+    const auto delay = [&] {
+        return milliseconds{
+            std::uniform_int_distribution<std::int64_t>{0, platform_delay.count()}(state.gossip.rng)};
+    };
+    state.poll_after = now + delay();
+    state.peers_after = now + platform_delay + delay();
+    return state;
+}
+
+sharing_effects start_with_document(sharing_state& state, json document, time_point now) {
+    sharing_effects effects;
+    auto digest = document_digest(document);
+    if (take_document(state.config, {0, std::move(digest), std::move(document)})) {
+        config_taken(state, effects, now);
+    }
+    return effects;
+}
+
+sharing_effects sharing_round(sharing_state& state, std::uint64_t wall_ms, time_point now) {
+    sharing_effects effects;
+    effects.gossip = gossip_round(state.gossip, now);
+    call_platform(state, effects, wall_ms, now);
+    finish(state, effects, now);
+    return effects;
+}
+
+sharing_effects change_own_entry(sharing_state& state, const member& own, time_point now) {
+    sharing_effects effects;
+    effects.gossip = set_own_entry(state.gossip, own, now);
+    return effects;
+}
+
+result<sharing_answer> on_gossip(sharing_state& state, std::string_view body, time_point now) {
+    auto received = receive_gossip(state.gossip, body, now);
+    if (!received) {
+        return received.error();
+    }
+    sharing_answer answer;
+    answer.body = std::move(received.value().body);
+    answer.effects.gossip = std::move(received.value().messages);
+    finish(state, answer.effects, now);
+    return answer;
+}
+
+sharing_effects on_gossip_answer(sharing_state& state, const peer_message& sent, std::string_view body,
+                                 time_point now) {
+    sharing_effects effects;
+    effects.gossip = receive_gossip_answer(state.gossip, sent, body, now);
+    finish(state, effects, now);
+    return effects;
+}
+
+sharing_effects on_gossip_failure(sharing_state& state, const peer_message& sent, time_point now) {
+    exchange_failed(state.gossip, sent, now);
+    return {};
+}
+
+result<std::string> on_config_request(sharing_state& state, std::optional<std::uint64_t> have,
+                                      time_point now) {
+    auto answer = answer_config_fetch(state.config, have);
+    if (answer) {
+        const auto bytes = answer.value().size() + answer_overhead_bytes;
+        spend_on_answer(state.gossip.budget, bytes, now);
+        state.gossip.bytes_sent += bytes;
+    }
+    return answer;
+}
+
+sharing_effects on_config_fetched(sharing_state& state, const std::optional<std::string>& body,
+                                  time_point now) {
+    sharing_effects effects;
+    if (!body) {
+        config_fetch_failed(state.config, now);
+    } else if (const auto taken = receive_config(state.config, *body, now); !taken) {
+        log(log_level::warning, "configuration", taken.error().message);
+    } else if (taken.value()) {
+        config_taken(state, effects, now);
+    }
+    finish(state, effects, now);
+    return effects;
+}
+
+sharing_effects on_config_polled(sharing_state& state, const result<config_poll>& poll, time_point now) {
+    sharing_effects effects;
+    state.polling = false;
+    if (!poll) {
+        state.poll_after = now + store_backoff(state.poll_failures++, state.gossip.rng);
+        return effects;
+    }
+    state.poll_failures = 0;
+    // A store that lost its history starts over with lower revisions.
+    state.poll_revision = poll.value().revision < state.poll_revision ? 0 : poll.value().revision;
+    state.poll_after = now;
+    if (poll.value().value) {
+        auto stored = parse_stored_config(*poll.value().value);
+        auto taken =
+            stored ? take_document(state.config, std::move(stored.value())) : result<bool>{stored.error()};
+        if (!taken) {
+            log(log_level::error, "configuration", taken.error().message);
+        } else if (taken.value()) {
+            config_taken(state, effects, now);
+        }
+    }
+    if (!state.config.current) {
+        // Nothing is stored yet; a node that is no watcher asks again.
+        state.poll_after = now + platform_delay + store_backoff(0, state.gossip.rng);
+    } else if (is_watcher(state) && !state.stopping) {
+        state.polling = true;
+        effects.poll = config_poll_call{state.poll_revision, poll_wait};
+    }
+    finish(state, effects, now);
+    return effects;
+}
+
+sharing_effects on_status_written(sharing_state& state, const status_write_result& written, time_point now) {
+    state.writing_status = false;
+    state.status_version = written.version;
+    if (written.written) {
+        state.status_failures = 0;
+        return {};
+    }
+    state.status_written.clear();
+    state.status_after = now + status_period + store_backoff(state.status_failures++, state.gossip.rng);
+    return {};
+}
+
+sharing_effects on_first_peers(sharing_state& state, const result<std::vector<endpoint>>& peers,
+                               time_point now) {
+    state.reading_peers = false;
+    if (!peers) {
+        state.peers_after = now + platform_delay + store_backoff(state.peer_failures++, state.gossip.rng);
+        return {};
+    }
+    state.peer_failures = 0;
+    state.peers_after = now + status_lifetime;
+    constexpr std::size_t max_first_peers = 64;
+    auto& known = state.gossip.first_peers;
+    for (const auto& it : peers.value()) {
+        const bool own = it == state.gossip.members.find(state.gossip.self)->second.address;
+        if (!own && known.size() < max_first_peers &&
+            std::find(known.begin(), known.end(), it) == known.end()) {
+            known.push_back(it);
+        }
+    }
+    return {};
+}
+
+bool is_watcher(const sharing_state& state) {
+    const auto watchers = domain_watchers(state.gossip.members, state.gossip.domain);
+    return std::find(watchers.begin(), watchers.end(), state.gossip.self) != watchers.end();
+}
+
+status_write_result write_status(object_store& store, const status_write_call& call) {
+    if (const auto written = store.put(call.name, call.value, call.if_version)) {
+        return {true, written.value()};
+    }
+    const auto found = store.get(call.name);
+    if (found) {
+        return {false, found.value().version};
+    }
+    return {false, found.error().kind == error_kind::not_found ? 0 : call.if_version};
+}
+
+result<std::vector<endpoint>> read_first_peers(object_store& store) {
+    const auto names = store.list(status_prefix);
+    if (!names) {
+        return names.error();
+    }
+    std::vector<endpoint> peers;
+    for (const auto& it : names.value().objects) {
+        const auto object = store.get(it.name);
+        if (!object) {
+            continue;
+        }
+        const auto status = json::parse(object.value().value, nullptr, false);
+        const auto members = status.is_object() ? status.find("members") : status.end();
+        if (members == status.end()) {
+            continue;
+        }
+        for (const auto& entry : *members) {
+            const auto address = entry.is_object() && entry.value("state", "") != "down"
+                                     ? parse_endpoint(entry.value("address", ""))
+                                     : parse_endpoint("");
+            if (address) {
+                peers.push_back(address.value());
+            }
+        }
+    }
+    return peers;
+}
+
+} // namespace baobabswitch
--- /dev/null
+++ b/src/libbaobabswitch/sharing.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "configsync.h"
+#include "gossip.h"
+#include "objectstore.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace baobabswitch {
+
+/// A long poll of the stored configuration.
+struct config_poll_call {
+    std::uint64_t revision = 0;
+    milliseconds wait{0};
+};
+
+/// A conditional write of status/<domain>.
+struct status_write_call {
+    std::string name;
+    std::string value;
+    std::uint64_t if_version = 0;
+};
+
+/// What the state machine asks its surroundings to do.
+struct sharing_effects {
+    peer_messages gossip;
+    std::vector<config_fetch> fetches;
+    std::optional<config_poll_call> poll;
+    std::optional<status_write_call> status;
+    bool read_first_peers = false; ///< from the status objects
+    bool new_config = false;       ///< a newer document was taken
+};
+
+/// All that a node shares with others: membership, configuration, and its duties at the platform.
+struct sharing_state {
+    gossip_state gossip;
+    config_sync config;
+    bool has_platform = false;
+    bool stopping = false; ///< starts no further call to the platform
+    time_point started;
+
+    bool polling = false;
+    std::uint64_t poll_revision = 0;
+    unsigned poll_failures = 0;
+    time_point poll_after;
+
+    bool writing_status = false;
+    std::string status_written; ///< without the time
+    std::uint64_t status_version = 0;
+    unsigned status_failures = 0;
+    time_point status_at;
+    time_point status_after;
+
+    bool reading_peers = false;
+    unsigned peer_failures = 0;
+    time_point peers_after;
+};
+
+sharing_state make_sharing_state(const member& own, std::vector<endpoint> seeds, bool has_platform,
+                                 std::uint64_t seed, invariant_table& invariants, time_point now);
+
+/// Takes over a document that came with the settings, as version 0.
+sharing_effects start_with_document(sharing_state& state, nlohmann::json document, time_point now);
+
+/// Runs one round; call it once a second. `wall_ms` is the time since the epoch, for the status.
+sharing_effects sharing_round(sharing_state& state, std::uint64_t wall_ms, time_point now);
+
+sharing_effects change_own_entry(sharing_state& state, const member& own, time_point now);
+
+struct sharing_answer {
+    std::string body;
+    sharing_effects effects;
+};
+/// Fails with malformed.
+result<sharing_answer> on_gossip(sharing_state& state, std::string_view body, time_point now);
+sharing_effects on_gossip_answer(sharing_state& state, const peer_message& sent, std::string_view body,
+                                 time_point now);
+sharing_effects on_gossip_failure(sharing_state& state, const peer_message& sent, time_point now);
+
+/// Answers GET /n/config. Fails with not_found.
+result<std::string> on_config_request(sharing_state& state, std::optional<std::uint64_t> have,
+                                      time_point now);
+/// `body` is empty when the fetch had no answer.
+sharing_effects on_config_fetched(sharing_state& state, const std::optional<std::string>& body,
+                                  time_point now);
+
+sharing_effects on_config_polled(sharing_state& state, const result<config_poll>& poll, time_point now);
+/// Whether a status was written, and the version that the next write must name.
+struct status_write_result {
+    bool written = false;
+    std::uint64_t version = 0;
+};
+sharing_effects on_status_written(sharing_state& state, const status_write_result& written, time_point now);
+sharing_effects on_first_peers(sharing_state& state, const result<std::vector<endpoint>>& peers,
+                               time_point now);
+
+/// Reports whether this node is a watcher of its domain.
+bool is_watcher(const sharing_state& state);
+
+/// Writes a status object; after a conflict or a lost answer it reads which version is there. Blocks.
+status_write_result write_status(object_store& store, const status_write_call& call);
+
+/// Reads the addresses in all status objects. Blocks. Fails with store_unavailable.
+result<std::vector<endpoint>> read_first_peers(object_store& store);
+
+} // namespace baobabswitch
--- /dev/null
+++ b/tests/sharing/simulation.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "memorystore.h"
+#include "sharing.h"
+
+#include <functional>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace baobabswitch::simulation {
+
+/// One simulated VM. A replacement keeps the index and the address.
+struct vm {
+    sharing_state state;
+    bool running = false;
+    bool announced = false; ///< its target announced itself
+    time_point paused_until;
+    time_point born;
+    unsigned epoch = 0; ///< messages of an earlier life are dropped
+    std::size_t domain = 0;
+    member_table seen; ///< table at the last check, for reversions
+    std::uint64_t seen_config = 0;
+    std::uint64_t config_answer_bytes = 0;
+};
+
+/// A fleet in virtual time: state machines, a message layer with faults, and a platform.
+class fleet {
+public:
+    fleet(std::uint64_t seed, std::size_t nodes, std::size_t domains);
+
+    void start(std::size_t n);
+    void stop(std::size_t n);
+    /// Replaces a VM; its node keeps its id, or takes a new one under the old address.
+    void replace(std::size_t n, bool new_id);
+    void pause(std::size_t n, duration time);
+    void set_state(std::size_t n, target_state state);
+    std::uint64_t publish();
+    void run(duration time);
+
+    /// Returns what keeps the fleet from being converged, or nothing.
+    std::string disagreement() const;
+    /// Checks what must hold at every moment; returns the first violation.
+    std::string violation();
+
+    std::vector<std::unique_ptr<vm>> vms;
+    std::mt19937_64 rng;
+    time_point now;
+    invariant_table invariants;
+    memory_store store;
+    bool platform_away = false;
+    std::uint64_t published = 0;
+    double loss = 0;
+    std::set<std::pair<std::size_t, std::size_t>> cut_domains; ///< (from, to)
+    std::set<std::pair<std::size_t, std::size_t>> cut_vms;     ///< (from, to)
+    std::set<std::size_t> cut_from_platform;                   ///< domains
+
+private:
+    struct event {
+        time_point at;
+        std::uint64_t order;
+        std::function<void()> run;
+        bool operator<(const event& other) const {
+            return std::tie(at, order) > std::tie(other.at, other.order);
+        }
+    };
+
+    void after(duration delay, std::function<void()> fn);
+    /// Runs at the VM in its present life; waits while it is paused.
+    void at_vm(std::size_t n, unsigned epoch, duration delay, std::function<void(vm&)> fn);
+    void round(std::size_t n, unsigned epoch);
+    void carry_out(std::size_t n, sharing_effects effects);
+    /// Passes a message on and its answer back; `failed` runs when one of them is lost.
+    void exchange(std::size_t from, const endpoint& to,
+                  std::function<std::optional<std::string>(std::size_t)> handle,
+                  std::function<void(vm&, const std::string&)> answered, std::function<void(vm&)> failed);
+    void poll(std::size_t n, unsigned epoch, config_poll_call call, time_point until);
+    bool passes(std::size_t from, std::size_t to);
+    duration delay();
+    member own_entry(std::size_t n, const std::string& id) const;
+
+    std::priority_queue<event> events_;
+    std::uint64_t order_ = 0;
+    std::uint64_t incarnation_ = 1'700'000'000'000;
+    std::size_t domains_;
+};
+
+} // namespace baobabswitch::simulation
