--- a/src/libbaobabswitch/outgoingcall.cpp
+++ b/src/libbaobabswitch/outgoingcall.cpp
@@ -14,6 +14,8 @@
 /// Time kept back at each hop, so that the node beside the target can still report a call that expired there.
 constexpr milliseconds transit_allowance{2};
 
+constexpr milliseconds cancel_timeout{500};
+
 milliseconds remaining(const call_info& info, time_point now) {
     return std::chrono::duration_cast<milliseconds>(info.deadline - now);
 }
@@ -25,7 +27,8 @@
         return make_failure(kind, error_kind::timeout, "no answer within the call's time",
                             "ask for the outcome with the request key, or allow more time");
     case http_failure_kind::cancelled:
-        return make_failure(kind, error_kind::cancelled, "the caller gave up", "nothing to do");
+        return make_failure(kind, error_kind::cancelled, "the call was given up before its answer",
+                            "ask for the outcome with the request key");
     case http_failure_kind::truncated:
     case http_failure_kind::malformed:
         return make_failure(kind, error_kind::target_garbage,
@@ -40,29 +43,62 @@
 
 } // namespace
 
-outgoing_call::outgoing_call(node_state& node, call_info info, retry_ledger ledger, callback on_done)
+outgoing_call::outgoing_call(node_state& node, call_info info, retry_ledger ledger,
+                             std::shared_ptr<key_record> record, callback on_done)
     : node_(node),
       info_(std::move(info)),
       ledger_(ledger),
+      record_(std::move(record)),
       on_done_(std::move(on_done)) {}
 
 void outgoing_call::start() {
-    attempt();
+    if (passes_threshold()) {
+        attempt();
+        return;
+    }
+    node_.metrics.count_event("refused-at-entry");
+    finish(make_failure(outcome_kind::not_run, error_kind::overloaded,
+                        "service \"" + info_.service + "\" admits only more important work now",
+                        "try again later"));
+}
+
+bool outgoing_call::passes_threshold() {
+    if (node_.config->policy.mode != policy_mode::baobabswitch) {
+        return true;
+    }
+    const auto level = threshold_level(node_.thresholds, info_.service, info_.kind, clock::now());
+    const double share = pass_share(level, info_.importance, info_.depth);
+    info_.weight = 1 / share;
+    return share >= 1 || std::uniform_real_distribution<double>{0, 1}(node_.rng) < share;
 }
 
 void outgoing_call::cancel() {
+    if (cancelled_ || finished_) {
+        return;
+    }
     cancelled_ = true;
-    if (exchange_ != 0) {
+    trace_call(node_, info_.request, info_.call, "cancelled", "nobody waits for the answer");
+    if (exchange_ == 0) {
+        return;
+    }
+    if (record_ == nullptr) {
         node_.peers.cancel(exchange_);
+    } else if (!node_.peers.cancel_if_unsent(exchange_)) {
+        node_.peers.send(peer_, make_peer_request(node_, "POST", "/n/cancel/" + info_.call, {}, ""),
+                         cancel_timeout, [](const http_result&) {});
     }
 }
 
+send_marks& outgoing_call::marks() {
+    return record_ ? record_->sends : own_marks_;
+}
+
 void outgoing_call::attempt() {
     const auto now = clock::now();
     const auto left_time = remaining(info_, now) - transit_allowance;
     if (left_time <= milliseconds{0}) {
-        const auto kind = sent_once_ ? outcome_kind::unknown : outcome_kind::not_run;
-        finish(make_failure(kind, error_kind::expired, "the call's time ran out before a target took it",
+        finish(make_failure(outcome_kind::not_run, error_kind::expired,
+                            "the call's time ran out before a target took it",
                             "allow more time, or try again when load is lower"));
         return;
     }
@@ -78,9 +114,11 @@
     const auto loan = lend(ledger_, node_.invariants);
     info_.call = next_call_id(node_);
     on_sent(node_.choice, *target);
-    const auto peer = node_.choice.targets.find(*target)->second.address;
+    trace_call(node_, info_.request, info_.call, "target-chosen", *target);
+    mark_sent(marks(), info_.idempotent, node_.invariants);
+    peer_ = node_.choice.targets.find(*target)->second.address;
     exchange_ =
-        node_.peers.send(peer, make_hop_request(node_, info_, loan, left_time), remaining(info_, now),
+        node_.peers.send(peer_, make_hop_request(node_, info_, loan, left_time), remaining(info_, now),
                          [self = shared_from_this(), target = *target, loan, now](http_result outcome) {
                              self->on_result(target, loan, now, std::move(outcome));
                          });
@@ -93,7 +131,17 @@
     std::optional<duration> latency;
     if (auto* response = std::get_if<http_response>(&outcome)) {
         parsed = parse_hop_response(std::move(*response));
+        if (parsed.kind == outcome_kind::done &&
+            !check(node_.invariants, invariant::whole_answer, answer_belongs_to(parsed, info_.call),
+                   "an answer has another call's id or length")) {
+            parsed = make_failure(outcome_kind::unknown, error_kind::target_garbage,
+                                  "the answer belongs to another call or is incomplete",
+                                  "ask for the outcome with the request key");
+        }
+        parsed.spent = std::min(parsed.spent, loan);
         give_back(ledger_, loan, parsed.spent, node_.invariants);
+        learn_thresholds(node_.thresholds, info_.service, target, std::move(parsed.thresholds), clock::now());
+        report_to_parent();
         if (parsed.kind == outcome_kind::done) {
             latency = clock::now() - sent_at;
         }
@@ -105,7 +153,11 @@
     }
     on_ended(node_.choice, target, parsed.kind, latency);
     tried_.push_back(target);
+    trace_call(node_, info_.request, info_.call, "attempt-ended",
+               target + ": " + std::string{outcome_name(parsed.kind)} +
+                   (parsed.cause ? ", " + describe(*parsed.cause) : ""));
     if (parsed.kind == outcome_kind::not_run) {
+        mark_not_run(marks());
         on_not_run(std::move(parsed));
     } else if (parsed.kind == outcome_kind::unknown) {
         on_unknown(std::move(parsed));
@@ -114,6 +166,18 @@
     }
 }
 
+/// Makes the level of this path known to the callers of the parent's kind. The level is moved by the
+/// difference in importance, so that it refuses the same share of parents as of children.
+void outgoing_call::report_to_parent() {
+    if (info_.parent_kind.empty()) {
+        return;
+    }
+    const auto now = clock::now();
+    const double level = threshold_level(node_.thresholds, info_.service, info_.kind, now);
+    learn_child_level(node_.paths, info_.parent_kind, info_.kind,
+                      std::max(0.0, level + info_.parent_importance - info_.importance), now);
+}
+
 bool outgoing_call::may_retry() {
     if (cancelled_) {
         return false;
@@ -125,11 +189,15 @@
         return false;
     }
     node_.metrics.count_event("retry");
+    trace_call(node_, info_.request, info_.call, "retry", std::to_string(left(ledger_)) + " retries left");
     return true;
 }
 
 void outgoing_call::on_not_run(call_outcome outcome) {
-    const bool terminal = outcome.cause && outcome.cause->kind == error_kind::expired;
+    // Where the level refuses calls of this importance, the other targets of the service are full too.
+    const bool below =
+        threshold_level(node_.thresholds, info_.service, info_.kind, clock::now()) > info_.importance;
+    const bool terminal = below || (outcome.cause && outcome.cause->kind == error_kind::expired);
     const auto others =
         std::count_if(node_.choice.targets.begin(), node_.choice.targets.end(), [&](const auto& it) {
             return it.second.service == info_.service && it.second.available &&
@@ -140,15 +208,10 @@
         attempt();
         return;
     }
-    if (sent_once_) {
-        // An earlier attempt may have run, so the request as a whole is not certain to be "not run".
-        outcome.kind = outcome_kind::unknown;
-    }
     finish(std::move(outcome));
 }
 
 void outgoing_call::on_unknown(call_outcome outcome) {
-    sent_once_ = true;
     if (info_.idempotent && may_retry()) {
         attempt();
         return;
@@ -161,6 +224,10 @@
         return;
     }
     finished_ = true;
+    if (outcome.kind == outcome_kind::not_run && marks().open > 0) {
+        // An earlier attempt may have run, so the request as a whole is not certain to be "not run".
+        outcome.kind = outcome_kind::unknown;
+    }
     outcome.spent = ledger_.spent + ledger_.lent;
     on_done_(std::move(outcome));
 }
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -1,9 +1,14 @@
+#include "eventloopimpl.h"
 #include "httpclient.h"
 #include "httpserver.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 using namespace baobabswitch;
+namespace asio = boost::asio;
 
 namespace {
 
@@ -42,6 +47,38 @@
     CHECK(body == "fast");
 }
 
+TEST_CASE("a second answer to one request never reaches the next request", "[http]") {
+    // Guards P3 against a target that answers twice before the client has polled its idle connection.
+    event_loop loop;
+    auto& context = loop.implementation().context;
+    asio::ip::tcp::acceptor acceptor{context, {asio::ip::make_address("127.0.0.1"), 0}};
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n";
+    std::vector<std::unique_ptr<asio::ip::tcp::socket>> open;
+    std::string buf(4096, ' ');
+    std::function<void()> accept = [&] {
+        acceptor.async_accept([&](boost::system::error_code, asio::ip::tcp::socket socket) {
+            open.push_back(std::make_unique<asio::ip::tcp::socket>(std::move(socket)));
+            open.back()->async_read_some(asio::buffer(buf), [&](boost::system::error_code, std::size_t) {
+                asio::write(*open.back(), asio::buffer(answer + (open.size() == 1 ? "one" : "two")));
+            });
+            accept();
+        });
+    };
+    accept();
+    const endpoint address{"127.0.0.1", acceptor.local_endpoint().port()};
+    http_client client{loop, {}};
+    std::string body;
+    client.send(address, {"GET", "/", {}, ""}, long_timeout, [&](const http_result&) {
+        asio::write(*open.front(), asio::buffer(answer + "bad"));
+        client.send(address, {"GET", "/", {}, ""}, long_timeout, [&](http_result second) {
+            body = std::get<http_response>(second).body;
+            loop.stop();
+        });
+    });
+    loop.run();
+    CHECK(body == "two");
+}
+
 TEST_CASE("a refused connection is certain not to have been sent", "[http]") {
     event_loop loop;
     http_client client{loop, {}};
@@ -94,3 +131,53 @@
     loop.run();
     CHECK(status == 413);
 }
+
+TEST_CASE("a client that sends too slowly gets a typed answer", "[http]") {
+    // Guards against slow senders that hold connections, and against a silent close.
+    event_loop loop;
+    http_server_options options;
+    options.header_timeout = milliseconds{50};
+    options.body_timeout = milliseconds{50};
+    int slow = 0;
+    options.on_read_error = [&](http_read_error kind) {
+        slow += kind == http_read_error::timeout ? 1 : 0;
+        return http_response{408, {}, ""};
+    };
+    auto server = http_server::listen(loop, {"127.0.0.1", 0}, options,
+                                      [](const http_request&, auto) { FAIL("not reached"); });
+    REQUIRE(server);
+    for (const std::string text : {"POST / HT", "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab"}) {
+        asio::ip::tcp::socket client{loop.implementation().context};
+        client.connect({asio::ip::make_address("127.0.0.1"), server.value()->port()});
+        asio::write(client, asio::buffer(text));
+        std::string answer;
+        asio::async_read_until(client, asio::dynamic_buffer(answer), "\r\n",
+                               [&](boost::system::error_code, std::size_t) { loop.stop(); });
+        loop.run();
+        loop.implementation().context.restart();
+        CHECK(answer.starts_with("HTTP/1.1 408"));
+    }
+    CHECK(slow == 2);
+}
+
+TEST_CASE("a client that is still sending gets the refusal of its large body", "[http]") {
+    // Guards against a reset that takes the answer away from a client that has not read it yet.
+    event_loop loop;
+    http_server_options options;
+    options.on_read_error = [](http_read_error) {
+        return http_response{413, {}, ""};
+    };
+    auto server = http_server::listen(loop, {"127.0.0.1", 0}, options,
+                                      [](const http_request&, auto) { FAIL("not reached"); });
+    REQUIRE(server);
+    http_client client{loop, {}};
+    unsigned status = 0;
+    client.send({"127.0.0.1", server.value()->port()}, {"POST", "/", {}, std::string(20'000'000, 'x')},
+                long_timeout, [&](http_result outcome) {
+                    const auto* response = std::get_if<http_response>(&outcome);
+                    status = response == nullptr ? 0 : response->status;
+                    loop.stop();
+                });
+    loop.run();
+    CHECK(status == 413);
+}
