Run membership and configuration spread in actors, and probe silent peers

Nodes exchanged whole member tables and read the configuration from a file. One actor now owns membership and configuration; two detached ones make the blocking platform calls.

A suspect that was taken over as down from another node stayed a suspect, so every node kept probing it; its address was a new node's, which spent its whole budget on answers and could not refute. Suspicion now ends with any newer entry, and a message always has room for a few entries.

--- a/src/baobabswitchd/main.cpp
+++ b/src/baobabswitchd/main.cpp
@@ -51,16 +51,25 @@
         log(log_level::error, "invariant", detail, {{"invariant", std::string{invariant_name(which)}}});
     };
     node_metrics metrics{invariants};
+    // Ends after the node, whose actors live in it.
+    caf::actor_system_config actor_options;
+    actor_options.set("scheduler.policy", caf::atom("sharing"));
+    actor_options.set("scheduler.max-threads", 1);
+    caf::actor_system actors{actor_options};
     event_loop loop;
     auto created = node::create(loop, std::move(settings.value()), invariants, metrics);
     if (!created) {
         return report(created.error());
     }
     auto& it = *created.value();
-    caf::actor_system_config actor_options;
-    actor_options.set("scheduler.policy", "sharing");
-    actor_options.set("scheduler.max-threads", 1);
-    caf::actor_system actors{actor_options};
+    // Promises and the configuration use the platform at the same time, so each has its own connections.
+    std::shared_ptr<object_store> store;
+    if (it.state().settings.platform) {
+        store = make_platform_client(*it.state().settings.platform);
+    }
+    if (const auto sharing = it.start_sharing(actors, store); !sharing) {
+        return report(sharing.error());
+    }
     const auto promises = start_promises(it, actors);
     auto admin = admin_server::start(it.state(), [&it] { it.drain(); });
     if (!admin) {
--- a/src/libbaobabswitch/configsync.cpp
+++ b/src/libbaobabswitch/configsync.cpp
@@ -1,5 +1,7 @@
 #include "configsync.h"
 
+#include "storebudget.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -12,12 +14,9 @@
 using std::chrono::seconds;
 
 constexpr std::size_t kept_patches = 32;
-constexpr std::size_t watchers_per_domain = 2;
 constexpr duration fetch_retry_delay = milliseconds{500};
 /// Longer than the HTTP timeout of a fetch, so that only a lost callback is given up here.
 constexpr duration fetch_lifetime = seconds{5};
-constexpr milliseconds first_backoff{200};
-constexpr milliseconds greatest_backoff{30'000};
 
 error bad_document(const std::string& detail) {
     return {error_kind::bad_document, "a configuration was refused: " + detail,
@@ -215,10 +214,4 @@
     return poll;
 }
 
-duration store_backoff(unsigned failures, std::mt19937_64& rng) {
-    constexpr unsigned doublings = 8;
-    const auto greatest = std::min(first_backoff * (1U << std::min(failures, doublings)), greatest_backoff);
-    return milliseconds{std::uniform_int_distribution<std::int64_t>{0, greatest.count()}(rng)};
-}
-
 } // namespace baobabswitch
--- a/src/libbaobabswitch/configsync.h
+++ b/src/libbaobabswitch/configsync.h
@@ -95,7 +95,4 @@
 /// revision 0 reads it at once. Blocks. Fails with store_unavailable.
 result<config_poll> poll_config(object_store& store, std::uint64_t revision, milliseconds wait);
 
-/// Returns a random delay before attempt n after n failures: up to 200 ms, doubled each time up to 30 s.
-duration store_backoff(unsigned failures, std::mt19937_64& rng);
-
 } // namespace baobabswitch
--- a/src/libbaobabswitch/gossip.cpp
+++ b/src/libbaobabswitch/gossip.cpp
@@ -17,7 +17,8 @@
 using json = nlohmann::json;
 using std::chrono::seconds;
 
-constexpr std::size_t max_row_bytes = 1024;   ///< entries in one message (design §6)
+constexpr std::size_t max_row_bytes = 1024; ///< entries in one message (design §6)
+constexpr std::size_t least_row_bytes = 256;
 constexpr std::size_t max_config_bytes = 256; ///< configuration versions of members in one message
 /// Part of the budget that only answers use: a peer without an answer takes this node for silent.
 constexpr std::size_t answer_reserve_bytes = 1000;
@@ -171,7 +172,8 @@
 std::size_t affordable_row_bytes(gossip_state& state, time_point now) {
     constexpr auto reserved = answer_reserve_bytes + 2 * request_overhead_bytes;
     const auto left = available(state.budget, now);
-    return std::min(max_row_bytes, left - std::min(left, reserved));
+    // A node whose budget is used up must still be able to say that it lives.
+    return std::clamp(left - std::min(left, reserved), least_row_bytes, max_row_bytes);
 }
 
 void start_exchange(gossip_state& state, peer_messages& out, const endpoint& to, const std::string& node,
@@ -254,9 +256,7 @@
     check(*state.invariants, invariant::member_monotonic, is_newer(entry, before),
           "member " + entry.node + " went back");
     auto& contact = state.contacts[entry.node];
-    if (entry.state != target_state::down) {
-        contact.suspected.reset();
-    }
+    contact.suspected.reset();
     if (entry.incarnation != before.incarnation) {
         contact.avoid_until = {};
     }
@@ -309,7 +309,8 @@
     for (const auto& node : nodes) {
         const auto& name = node.get_ref<const std::string&>();
         const auto contact = state.contacts.find(name);
-        if (contact == state.contacts.end() || name == state.self) {
+        if (contact == state.contacts.end() || name == state.self ||
+            state.members.find(name)->second.state == target_state::down) {
             continue;
         }
         if (recently_heard(contact->second, now)) {
@@ -506,11 +507,11 @@
 void verify_suspects(gossip_state& state, peer_messages& out, time_point now) {
     std::size_t n = 0;
     for (const auto& [node, contact] : state.contacts) {
-        if (!contact.suspected || n == max_suspects_per_round) {
+        const auto& suspect = state.members.find(node)->second;
+        if (!contact.suspected || n == max_suspects_per_round || suspect.state == target_state::down) {
             continue;
         }
         ++n;
-        const auto& suspect = state.members.find(node)->second;
         start_exchange(state, out, suspect.address, node, now);
         std::vector<const member*> found;
         for (const auto& [name, it] : state.members) {
--- a/src/libbaobabswitch/node.cpp
+++ b/src/libbaobabswitch/node.cpp
@@ -3,6 +3,7 @@
 #include "entry.h"
 #include "keyowner.h"
 #include "log.h"
+#include "nodeactors.h"
 #include "peermessages.h"
 #include "promisedcalls.h"
 #include "targetside.h"
@@ -15,7 +16,6 @@
 
 constexpr milliseconds tick_period{100};
 constexpr std::chrono::seconds gossip_period{1};
-constexpr milliseconds gossip_timeout{500};
 /// Least time from the start of a drain to the exit, so that other nodes learn of it before connections to
 /// this node fail.
 constexpr milliseconds drain_notice{1000};
@@ -41,31 +41,6 @@
     return {error_kind::malformed, "the request is not valid HTTP/1.1", "check the client"};
 }
 
-nlohmann::json members_to_json(const member_table& members) {
-    auto list = nlohmann::json::array();
-    for (const auto& [node, it] : members) {
-        list.push_back(to_json(it));
-    }
-    return list;
-}
-
-void merge_members(node_state& node, const std::string& text) {
-    const auto list = nlohmann::json::parse(text, nullptr, false);
-    if (!list.is_array()) {
-        return;
-    }
-    bool changed = false;
-    for (const auto& value : list) {
-        const auto entry = member_from_json(value);
-        if (entry && entry.value().node != node.settings.node_id) {
-            changed = merge(node.members, entry.value()) || changed;
-        }
-    }
-    if (changed) {
-        update_targets(node.choice, node.members, clock::now());
-    }
-}
-
 } // namespace
 
 result<std::unique_ptr<node>> node::create(event_loop& loop, node_settings settings,
@@ -114,17 +89,32 @@
     update_own_entry(it->state_);
     loop.schedule_every(tick_period, [raw = it.get()] { raw->tick(); });
     loop.schedule_every(gossip_period, [raw = it.get()] { raw->gossip(); });
-    loop.post([raw = it.get()] { raw->gossip(); });
     return it;
 }
 
 node::node(event_loop& loop, node_settings settings, invariant_table& invariants, node_metrics& metrics)
     : state_(loop, std::move(settings), invariants, metrics) {}
 
+node::~node() = default;
+
 node_state& node::state() {
     return state_;
 }
 
+result<void> node::start_sharing(caf::actor_system& actors, std::shared_ptr<object_store> store) {
+    nlohmann::json document;
+    if (!state_.settings.initial_document.empty()) {
+        const auto text = read_file(state_.settings.initial_document);
+        if (!text) {
+            return text.error();
+        }
+        document = nlohmann::json::parse(text.value(), nullptr, false);
+    }
+    sharing_ = std::make_unique<sharing_service>(actors, state_, std::move(store), std::move(document));
+    gossip();
+    return success();
+}
+
 void node::dispatch(http_request request, const std::shared_ptr<http_exchange>& exchange) {
     const auto path = path_of(request.target);
     if (path.starts_with("/v1/")) {
@@ -179,11 +169,15 @@
         handle_cancel(state_, request, *exchange);
     } else if (path.starts_with("/n/key/")) {
         handle_key_message(state_, std::move(request), exchange);
-    } else if (path == "/n/gossip") {
-        merge_members(state_, request.body);
-        exchange->respond(json_response(200, members_to_json(state_.members).dump()));
+    } else if (path == "/n/gossip" && sharing_) {
+        sharing_->handle_gossip(request, exchange);
+    } else if (path == "/n/config" && sharing_) {
+        sharing_->handle_config(request, exchange);
     } else if (path == "/n/ping") {
-        exchange->respond(json_response(200, "{}"));
+        auto response = json_response(200, "{}");
+        // Another node may run under the address by now.
+        response.headers.emplace_back("Baobab-Node", state_.settings.node_id);
+        exchange->respond(std::move(response));
     } else {
         exchange->respond(
             json_response(404, error_body({error_kind::not_found, "unknown message between nodes",
@@ -196,30 +190,18 @@
     tick_target_side(state_, now);
     expire_keys(state_.keys, now);
     tick_promises(state_, now);
+    tick_probes(state_, now);
+    if (sharing_) {
+        sharing_->update_own();
+    }
     state_.metrics.set_gauge("running", static_cast<double>(state_.admission.running.size()));
     state_.metrics.set_gauge("waiting", static_cast<double>(state_.admission.waiting.size()));
 }
 
 void node::gossip() {
-    std::vector<endpoint> peers = state_.settings.seeds;
-    for (const auto& [name, it] : state_.members) {
-        if (name != state_.settings.node_id) {
-            peers.push_back(it.address);
-        }
-    }
-    std::erase(peers, state_.settings.advertise);
-    if (peers.empty()) {
-        return;
+    if (sharing_) {
+        sharing_->round();
     }
-    const auto& peer = peers.at(std::uniform_int_distribution<std::size_t>{0, peers.size() - 1}(state_.rng));
-    auto body = members_to_json(state_.members).dump();
-    state_.metrics.count_control_bytes(body.size());
-    state_.peers.send(peer, make_peer_request(state_, "POST", "/n/gossip", {}, std::move(body)),
-                      gossip_timeout, [this](http_result outcome) {
-                          if (const auto* response = std::get_if<http_response>(&outcome)) {
-                              merge_members(state_, response->body);
-                          }
-                      });
 }
 
 void node::drain() {
@@ -234,7 +216,10 @@
         state_.target.leaving_since = drain_started_;
     }
     update_own_entry(state_);
-    gossip();
+    if (sharing_) {
+        sharing_->update_own();
+        sharing_->stop_platform_calls();
+    }
     stop_when_idle();
 }
 
--- a/src/libbaobabswitch/node.h
+++ b/src/libbaobabswitch/node.h
@@ -4,8 +4,15 @@
 
 #include <memory>
 
+namespace caf {
+class actor_system;
+}
+
 namespace baobabswitch {
 
+class object_store;
+class sharing_service;
+
 /// One node: the state shared by its systems and the server that feeds them.
 class node {
 public:
@@ -13,7 +20,16 @@
     static result<std::unique_ptr<node>> create(event_loop& loop, node_settings settings,
                                                 invariant_table& invariants, node_metrics& metrics);
 
+    ~node();
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+    node(node&&) = delete;
+    node& operator=(node&&) = delete;
+
     node_state& state();
+    /// Starts to share membership and configuration with other nodes. `store` may be null. Without this the
+    /// node knows only itself. Fails with not_found.
+    result<void> start_sharing(caf::actor_system& actors, std::shared_ptr<object_store> store);
     /// Takes no new work, waits for the calls in flight and then stops the event loop.
     void drain();
 
@@ -30,6 +46,7 @@
 
     node_state state_;
     std::unique_ptr<http_server> server_;
+    std::unique_ptr<sharing_service> sharing_;
     time_point drain_started_;
 };
 
--- a/src/libbaobabswitch/nodestate.h
+++ b/src/libbaobabswitch/nodestate.h
@@ -11,6 +11,7 @@
 #include "invariants.h"
 #include "membership.h"
 #include "metrics.h"
+#include "peerprobe.h"
 #include "requestkeys.h"
 #include "retryledger.h"
 #include "servicetimes.h"
@@ -86,6 +87,7 @@
     std::shared_ptr<const configuration> config;
     member_table members;
     target_table choice;
+    probe_table probes;
     local_target target;
     admission_table admission;
     concurrency_limit concurrency;                      ///< of the local target
--- a/src/libbaobabswitch/outgoingcall.cpp
+++ b/src/libbaobabswitch/outgoingcall.cpp
@@ -114,6 +114,7 @@
     const auto loan = lend(ledger_, node_.invariants);
     info_.call = next_call_id(node_);
     on_sent(node_.choice, *target);
+    note_call_sent(node_.probes, *target, now);
     trace_call(node_, info_.request, info_.call, "target-chosen", *target);
     mark_sent(marks(), info_.idempotent, node_.invariants);
     peer_ = node_.choice.targets.find(*target)->second.address;
@@ -152,6 +153,7 @@
         give_back(ledger_, loan, failure.sent ? loan : 0, node_.invariants);
     }
     on_ended(node_.choice, target, parsed.kind, latency);
+    note_call_ended(node_.probes, target, sent_at);
     tried_.push_back(target);
     trace_call(node_, info_.request, info_.call, "attempt-ended",
                target + ": " + std::string{outcome_name(parsed.kind)} +
--- /dev/null
+++ b/src/libbaobabswitch/peerprobe.cpp
@@ -0,0 +1,74 @@
+#include "peerprobe.h"
+
+namespace baobabswitch {
+
+namespace {
+
+/// Calls outstanding for longer than this are a reason to probe.
+constexpr milliseconds slow_call{300};
+/// Two misses take at most slow_call + 2 * probe_period + a tick of 100 ms each, under 2 s in all.
+constexpr milliseconds probe_period{300};
+constexpr unsigned misses_until_silent = 2;
+
+} // namespace
+
+void note_call_sent(probe_table& table, const std::string& node, time_point now) {
+    table.peers[node].outstanding.insert(now);
+}
+
+void note_call_ended(probe_table& table, std::string_view node, time_point sent_at) {
+    const auto it = table.peers.find(node);
+    if (it == table.peers.end()) {
+        return;
+    }
+    auto& calls = it->second.outstanding;
+    if (const auto call = calls.find(sent_at); call != calls.end()) {
+        calls.erase(call);
+    }
+    if (calls.empty() && !it->second.silent && !it->second.in_flight) {
+        table.peers.erase(it);
+    }
+}
+
+std::vector<std::string> due_probes(probe_table& table, time_point now) {
+    std::vector<std::string> due;
+    for (auto& [node, it] : table.peers) {
+        const bool slow = !it.outstanding.empty() && now - *it.outstanding.begin() >= slow_call;
+        if ((slow || it.silent) && !it.in_flight && now - it.last_probe >= probe_period) {
+            it.in_flight = true;
+            it.last_probe = now;
+            due.push_back(node);
+        }
+    }
+    return due;
+}
+
+bool note_probe_ended(probe_table& table, std::string_view node, bool answered) {
+    const auto it = table.peers.find(node);
+    if (it == table.peers.end()) {
+        return false;
+    }
+    auto& peer = it->second;
+    peer.in_flight = false;
+    const bool was_silent = peer.silent;
+    peer.misses = answered ? 0 : peer.misses + 1;
+    peer.silent = !answered && (was_silent || peer.misses >= misses_until_silent);
+    const bool changed = peer.silent != was_silent;
+    if (peer.outstanding.empty() && !peer.silent) {
+        table.peers.erase(it);
+    }
+    return changed;
+}
+
+bool is_silent(const probe_table& table, std::string_view node) {
+    const auto it = table.peers.find(node);
+    return it != table.peers.end() && it->second.silent;
+}
+
+void forget_peer(probe_table& table, std::string_view node) {
+    if (const auto it = table.peers.find(node); it != table.peers.end()) {
+        table.peers.erase(it);
+    }
+}
+
+} // namespace baobabswitch
--- a/src/libbaobabswitch/sharing.cpp
+++ b/src/libbaobabswitch/sharing.cpp
@@ -12,7 +12,7 @@
 using std::chrono::seconds;
 
 /// A node that stops waits for its long poll, so the wait is well below the time that a stop may take.
-constexpr milliseconds poll_wait{5000};
+constexpr milliseconds poll_wait{2000};
 constexpr duration status_period = seconds{2};
 constexpr duration status_lifetime = seconds{10};
 /// Time for peers to answer before a node without a configuration or peers asks the platform; it spreads the
@@ -200,10 +200,10 @@
     sharing_effects effects;
     state.polling = false;
     if (!poll) {
-        state.poll_after = now + store_backoff(state.poll_failures++, state.gossip.rng);
+        state.poll_after = now + next_delay(state.poll_backoff, state.gossip.rng);
         return effects;
     }
-    state.poll_failures = 0;
+    reset(state.poll_backoff);
     // A store that lost its history starts over with lower revisions.
     state.poll_revision = poll.value().revision < state.poll_revision ? 0 : poll.value().revision;
     state.poll_after = now;
@@ -219,7 +219,7 @@
     }
     if (!state.config.current) {
         // Nothing is stored yet; a node that is no watcher asks again.
-        state.poll_after = now + platform_delay + store_backoff(0, state.gossip.rng);
+        state.poll_after = now + platform_delay;
     } else if (is_watcher(state) && !state.stopping) {
         state.polling = true;
         effects.poll = config_poll_call{state.poll_revision, poll_wait};
@@ -232,11 +232,11 @@
     state.writing_status = false;
     state.status_version = written.version;
     if (written.written) {
-        state.status_failures = 0;
+        reset(state.status_backoff);
         return {};
     }
     state.status_written.clear();
-    state.status_after = now + status_period + store_backoff(state.status_failures++, state.gossip.rng);
+    state.status_after = now + status_period + next_delay(state.status_backoff, state.gossip.rng);
     return {};
 }
 
@@ -244,10 +244,10 @@
                                time_point now) {
     state.reading_peers = false;
     if (!peers) {
-        state.peers_after = now + platform_delay + store_backoff(state.peer_failures++, state.gossip.rng);
+        state.peers_after = now + platform_delay + next_delay(state.peers_backoff, state.gossip.rng);
         return {};
     }
-    state.peer_failures = 0;
+    reset(state.peers_backoff);
     state.peers_after = now + status_lifetime;
     constexpr std::size_t max_first_peers = 64;
     auto& known = state.gossip.first_peers;
--- a/src/libbaobabswitch/sharing.h
+++ b/src/libbaobabswitch/sharing.h
@@ -3,6 +3,7 @@
 #include "configsync.h"
 #include "gossip.h"
 #include "objectstore.h"
+#include "storebudget.h"
 
 #include <optional>
 #include <string>
@@ -43,18 +44,18 @@
 
     bool polling = false;
     std::uint64_t poll_revision = 0;
-    unsigned poll_failures = 0;
+    backoff poll_backoff;
     time_point poll_after;
 
     bool writing_status = false;
     std::string status_written; ///< without the time
     std::uint64_t status_version = 0;
-    unsigned status_failures = 0;
+    backoff status_backoff;
     time_point status_at;
     time_point status_after;
 
     bool reading_peers = false;
-    unsigned peer_failures = 0;
+    backoff peers_backoff;
     time_point peers_after;
 };
 
--- /dev/null
+++ b/tests/sharing/test_configsync.cpp
@@ -0,0 +1,94 @@
+#include "configsync.h"
+#include "memorystore.h"
+#include "sharing.h"
+
+#include <catch2/catch.hpp>
+
+using namespace baobabswitch;
+
+namespace {
+
+versioned_document document(std::uint64_t version) {
+    nlohmann::json services;
+    for (std::uint64_t n = 0; n < 20; ++n) {
+        services["service-" + std::to_string(n)] = {
+            {"slots", 100 + version}, {"connections", 5}, {"queue", 5}};
+        if (n > 0) {
+            services["service-" + std::to_string(n)]["slots"] = 7;
+        }
+    }
+    nlohmann::json content{{"schema", 1}, {"kinds", nlohmann::json::object()}, {"services", services}};
+    auto digest = document_digest(content);
+    return {version, std::move(digest), std::move(content)};
+}
+
+const time_point now = time_point{} + std::chrono::hours{1};
+
+} // namespace
+
+// Guards against a configuration that goes back, or whose content is not what was accepted.
+TEST_CASE("only a higher version with the right digest is taken", "[configsync]") {
+    invariant_table invariants;
+    config_sync sync;
+    sync.invariants = &invariants;
+    CHECK(take_document(sync, document(4)).value());
+    CHECK_FALSE(take_document(sync, document(3)).value());
+    CHECK_FALSE(take_document(sync, document(4)).value());
+    auto forged = document(5);
+    forged.digest = document(6).digest;
+    CHECK(take_document(sync, forged).error().kind == error_kind::bad_document);
+    CHECK(sync.in_force->version == 4);
+}
+
+// Guards against patches that lead to another document than the one announced, and against whole documents
+// where patches would do.
+TEST_CASE("patches lead from a kept version to the newest", "[configsync]") {
+    invariant_table invariants;
+    config_sync ahead;
+    ahead.invariants = &invariants;
+    for (std::uint64_t version = 1; version <= 40; ++version) {
+        REQUIRE(take_document(ahead, document(version)).value());
+    }
+    config_sync behind;
+    behind.invariants = &invariants;
+    REQUIRE(take_document(behind, document(38)).value());
+    const auto patched = answer_config_fetch(ahead, 38).value();
+    CHECK(patched.size() < document(40).document.dump().size() / 2);
+    CHECK(receive_config(behind, patched, now).value());
+    CHECK(behind.current->digest == ahead.current->digest);
+    // Version 2 is older than the 32 kept patches.
+    CHECK(answer_config_fetch(ahead, 2).value().find("\"doc\"") != std::string::npos);
+    CHECK(answer_config_fetch(ahead, std::nullopt).value().find("\"doc\"") != std::string::npos);
+}
+
+// Guards against a node that asks for the same useless patches for ever.
+TEST_CASE("after a mismatch the whole document is fetched", "[configsync]") {
+    invariant_table invariants;
+    config_sync sync;
+    sync.invariants = &invariants;
+    REQUIRE(take_document(sync, document(1)).value());
+    const config_news news{{"127.0.0.1", 1}, {2, document(2).digest}};
+    hear_of_config(sync, news);
+    CHECK(next_config_fetch(sync, now)->path == "/n/config?have=1");
+    CHECK_FALSE(next_config_fetch(sync, now));
+    const nlohmann::json wrong{{"v", 2}, {"g", document(2).digest}, {"b", 1}, {"p", nlohmann::json::array()}};
+    CHECK_FALSE(receive_config(sync, wrong.dump(), now));
+    const auto later = now + std::chrono::seconds{1};
+    hear_of_config(sync, news);
+    CHECK(next_config_fetch(sync, later)->path == "/n/config");
+}
+
+// Guards against a status that is never written again after another writer or a lost answer.
+TEST_CASE("a status write learns the version it must name", "[configsync]") {
+    memory_store store;
+    REQUIRE(store.put("status/praha-a", "{}", 0));
+    const auto lost = write_status(store, {"status/praha-a", "{}", 0});
+    CHECK_FALSE(lost.written);
+    CHECK(write_status(store, {"status/praha-a", "{}", lost.version}).written);
+}
+
+// Guards against an object that this node can't read and that makes it ask again without pause.
+TEST_CASE("the stored object is checked", "[configsync]") {
+    CHECK(parse_stored_config("[").error().kind == error_kind::bad_document);
+    CHECK(parse_stored_config("{\"version\":1}").error().kind == error_kind::bad_document);
+}
