--- a/src/libbaobabswitch/outgoingcall.cpp
+++ b/src/libbaobabswitch/outgoingcall.cpp
@@ -151,7 +151,10 @@
         // When the answer is lost, what was lent counts as spent.
         give_back(ledger_, loan, failure.sent ? loan : 0, node_.invariants);
     }
-    on_ended(node_.choice, target, parsed.kind, latency);
+    const bool failed = parsed.kind == outcome_kind::unknown ||
+                        (parsed.cause && parsed.cause->kind == error_kind::target_failed);
+    on_ended(node_.choice, target, {info_.kind, parsed.kind, failed && !cancelled_, latency, parsed.wait},
+             clock::now());
     tried_.push_back(target);
     trace_call(node_, info_.request, info_.call, "attempt-ended",
                target + ": " + std::string{outcome_name(parsed.kind)} +
--- a/src/libbaobabswitch/targetchoice.cpp
+++ b/src/libbaobabswitch/targetchoice.cpp
@@ -1,33 +1,132 @@
 #include "targetchoice.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <cmath>
 
 namespace baobabswitch {
 
 namespace {
 
-constexpr double latency_weight = 0.2; ///< of a new sample in the smoothed latency
+constexpr double latency_weight = 0.3; ///< of a new sample in a target's slowness
+constexpr double kind_weight = 0.02;   ///< of a new sample in a kind's usual latency
+constexpr double typical_ms = 50;      ///< expected latency while nothing is known
+constexpr std::uint64_t least_samples = 5;
+constexpr std::size_t subset_size = 20;
+constexpr milliseconds wait_lifetime{500};
+constexpr std::chrono::seconds fade_start{2};
+constexpr std::chrono::seconds fade_time{5};
+constexpr std::chrono::seconds ramp_time{10};
+constexpr double least_ramp = 0.1;
+constexpr double slow_factor = 3; ///< times the median of the peers
+constexpr unsigned failure_limit = 5;
+constexpr std::size_t ejected_share = 3; ///< one in so many targets may be ejected
+/// Probes of a target that stays slow are slow calls; at 10 s they are fewer than one call in a hundred.
+constexpr std::chrono::seconds first_ejection{10};
+constexpr std::chrono::seconds longest_ejection{60};
 
 std::vector<target_stats*> candidates(target_table& table, std::string_view service,
                                       std::span<const std::string> tried) {
     std::vector<target_stats*> found;
-    for (auto& [node, it] : table.targets) {
-        if (it.available && it.service == service &&
+    const auto subset = table.subsets.find(service);
+    if (subset == table.subsets.end()) {
+        return found;
+    }
+    for (const auto& node : subset->second) {
+        const auto it = table.targets.find(node);
+        if (it != table.targets.end() && it->second.available &&
             std::find(tried.begin(), tried.end(), node) == tried.end()) {
-            found.push_back(&it);
+            found.push_back(&it->second);
         }
     }
     return found;
 }
 
-double expected_wait(const target_stats& it) {
-    return (it.outstanding + 1) * std::max(it.latency_ms, 1.0) /
-           static_cast<double>(std::max<std::size_t>(it.slots, 1));
+/// Returns the share of the usual number of calls that a target takes after it appeared or returned.
+double ramp_share(const target_stats& it, time_point now) {
+    const double share = std::chrono::duration<double>(now - it.ramp_start) / ramp_time;
+    return std::clamp(share, least_ramp, 1.0);
+}
+
+/// Returns the slowness, which fades to 1 while there are no samples: a target that looks slower than its
+/// peers gets no calls, and would never show that it has recovered.
+double present_slowness(const target_stats& it, time_point now) {
+    const auto age = std::chrono::duration<double>(now - it.last_sample) - fade_start;
+    return age.count() <= 0 ? it.slowness : 1 + (it.slowness - 1) * std::exp(-(age / fade_time));
+}
+
+double expected_wait(const target_stats& it, time_point now) {
+    const double load = (it.outstanding + 1) / static_cast<double>(std::max<std::size_t>(it.slots, 1));
+    const double reported = now - it.wait_reported < wait_lifetime ? it.wait_ms : 0;
+    return ((1 + load) * present_slowness(it, now) * typical_ms + reported) / ramp_share(it, now);
+}
+
+std::uint64_t rendezvous_score(std::string_view node, std::string_view target) {
+    return XXH64(target.data(), target.size(), XXH64(node.data(), node.size(), 0));
+}
+
+/// Chooses the targets that this node uses: its own domain's first, within a domain by rendezvous hash, so
+/// that nodes spread over the targets and few change when one joins or leaves. Half of the places go to
+/// other domains, so that the loss of a domain leaves targets.
+void update_subsets(target_table& table) {
+    table.subsets.clear();
+    for (const auto& [node, it] : table.targets) {
+        if (it.available) {
+            table.subsets[it.service].push_back(node);
+        }
+    }
+    for (auto& [service, nodes] : table.subsets) {
+        if (nodes.size() <= subset_size) {
+            continue;
+        }
+        std::sort(nodes.begin(), nodes.end(), [&](const auto& a, const auto& b) {
+            return rendezvous_score(table.node, a) > rendezvous_score(table.node, b);
+        });
+        const auto first_other = std::stable_partition(nodes.begin(), nodes.end(), [&](const auto& it) {
+            return table.targets.find(it)->second.domain == table.domain;
+        });
+        const auto own = static_cast<std::size_t>(first_other - nodes.begin());
+        const auto others = std::min(nodes.size() - own, subset_size / 2);
+        const auto kept = std::min(own, subset_size - others);
+        nodes.erase(nodes.begin() + static_cast<std::ptrdiff_t>(kept), first_other);
+        nodes.resize(std::min(nodes.size(), subset_size));
+    }
+}
+
+void eject(target_stats& it, time_point now) {
+    const auto time =
+        std::min<duration>(first_ejection * (1U << std::min(it.ejections, 4U)), longest_ejection);
+    it.ejected = true;
+    it.probing = false;
+    it.ejected_until = now + time;
+    ++it.ejections;
+}
+
+/// Ends an ejection after a probe was answered well.
+void readmit(target_stats& it, time_point now) {
+    it.ejected = false;
+    it.probing = false;
+    it.failures_in_row = 0;
+    it.samples = 0;
+    it.slowness = 1;
+    it.ramp_start = now;
+}
+
+double median_slowness(std::vector<double> values) {
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
 }
 
 } // namespace
 
 void update_targets(target_table& table, const member_table& members, time_point now) {
+    if (!table.started) {
+        table.started = now;
+    }
+    // Targets that this node learns of while it starts are not new.
+    const bool starting = now - *table.started < ramp_time;
     for (const auto& [node, it] : members) {
         if (it.service.empty()) {
             continue;
@@ -36,7 +135,7 @@
         auto& stats = found->second;
         if (inserted || stats.incarnation != it.incarnation) {
             stats = {};
-            stats.first_seen = now;
+            stats.ramp_start = starting ? now - ramp_time : now;
         }
         stats.node = node;
         stats.incarnation = it.incarnation;
@@ -46,18 +145,37 @@
         stats.slots = it.slots;
         stats.available = it.state == target_state::up;
     }
+    update_subsets(table);
 }
 
 std::optional<std::string> choose_target(target_table& table, std::string_view service,
-                                         std::span<const std::string> tried, random_engine& rng, time_point) {
-    const auto found = candidates(table, service, tried);
+                                         std::span<const std::string> tried, random_engine& rng,
+                                         time_point now) {
+    auto found = candidates(table, service, tried);
+    const auto due = std::find_if(found.begin(), found.end(), [&](const auto* it) {
+        return it->ejected && !it->probing && now >= it->ejected_until;
+    });
+    if (due != found.end()) {
+        (*due)->probing = true;
+        return (*due)->node;
+    }
+    std::erase_if(found, [](const auto* it) { return it->ejected; });
+    if (found.empty()) {
+        // An ejected target is better than none.
+        found = candidates(table, service, tried);
+    }
     if (found.empty()) {
         return std::nullopt;
     }
-    std::uniform_int_distribution<std::size_t> pick{0, found.size() - 1};
-    const auto* a = found.at(pick(rng));
-    const auto* b = found.at(pick(rng));
-    return expected_wait(*a) <= expected_wait(*b) ? a->node : b->node;
+    const auto pick = std::uniform_int_distribution<std::size_t>{0, found.size() - 1}(rng);
+    auto other = pick;
+    if (found.size() > 1) {
+        other = std::uniform_int_distribution<std::size_t>{0, found.size() - 2}(rng);
+        other += other >= pick ? 1 : 0;
+    }
+    const auto* a = found.at(pick);
+    const auto* b = found.at(other);
+    return expected_wait(*a, now) <= expected_wait(*b, now) ? a->node : b->node;
 }
 
 std::optional<std::string> choose_round_robin(target_table& table, std::string_view service,
@@ -78,20 +196,76 @@
     }
 }
 
-void on_ended(target_table& table, std::string_view node, outcome_kind outcome,
-              std::optional<duration> latency) {
-    const auto it = table.targets.find(node);
-    if (it == table.targets.end()) {
+void on_ended(target_table& table, std::string_view node, const call_result& ended, time_point now) {
+    const auto found = table.targets.find(node);
+    if (found == table.targets.end()) {
         return;
     }
-    auto& stats = it->second;
-    stats.outstanding -= std::min(stats.outstanding, 1U);
-    if (latency) {
-        const double ms = std::chrono::duration<double, std::milli>(*latency).count();
-        stats.latency_ms =
-            stats.latency_ms == 0 ? ms : stats.latency_ms + latency_weight * (ms - stats.latency_ms);
+    auto& it = found->second;
+    it.outstanding -= std::min(it.outstanding, 1U);
+    if (!ended.failed) {
+        it.wait_ms = static_cast<double>(ended.wait.count());
+        it.wait_reported = now;
+    }
+    double ratio = 1;
+    if (ended.latency) {
+        const double ms = std::chrono::duration<double, std::milli>(*ended.latency).count();
+        auto& usual = table.kinds[std::string{ended.kind}];
+        ++usual.samples;
+        usual.mean_ms +=
+            std::max(kind_weight, 1.0 / static_cast<double>(usual.samples)) * (ms - usual.mean_ms);
+        ratio = ms / std::max(usual.mean_ms, 1.0);
+        it.slowness = present_slowness(it, now);
+        it.slowness += latency_weight * (ratio - it.slowness);
+        it.last_sample = now;
+        ++it.samples;
+    }
+    it.failures_in_row = ended.failed ? it.failures_in_row + 1 : 0;
+    if (it.probing) {
+        if (ended.failed || ratio > slow_factor) {
+            eject(it, now);
+        } else {
+            readmit(it, now);
+        }
+    }
+}
+
+void update_ejections(target_table& table, time_point now) {
+    std::map<std::string_view, std::vector<target_stats*>> services;
+    for (auto& [node, it] : table.targets) {
+        if (it.available) {
+            services[it.service].push_back(&it);
+        }
+    }
+    for (auto& [service, list] : services) {
+        std::vector<double> values;
+        std::size_t ejected = 0;
+        for (const auto* it : list) {
+            ejected += it->ejected ? 1 : 0;
+            if (!it->ejected && it->samples >= least_samples) {
+                values.push_back(it->slowness);
+            }
+        }
+        const double median = values.size() < 2 ? 0 : median_slowness(values);
+        std::sort(list.begin(), list.end(),
+                  [](const auto* a, const auto* b) { return a->slowness > b->slowness; });
+        for (auto* it : list) {
+            const bool slow =
+                median > 0 && it->samples >= least_samples && it->slowness > slow_factor * median;
+            if (!it->ejected && (slow || it->failures_in_row >= failure_limit) &&
+                ejected < list.size() / ejected_share) {
+                eject(*it, now);
+                ++ejected;
+            }
+        }
+        // Targets that leave shrink the service, and with it the number that may be ejected.
+        for (auto it = list.rbegin(); it != list.rend() && ejected > list.size() / ejected_share; ++it) {
+            if ((*it)->ejected) {
+                readmit(**it, now);
+                --ejected;
+            }
+        }
     }
-    stats.failures_in_row = outcome == outcome_kind::unknown ? stats.failures_in_row + 1 : 0;
 }
 
 } // namespace baobabswitch
--- a/src/libbaobabswitch/targetchoice.h
+++ b/src/libbaobabswitch/targetchoice.h
@@ -24,15 +24,34 @@
     std::size_t slots = 1;
     bool available = true;    ///< up, as far as membership knows
     unsigned outstanding = 0; ///< calls without an answer yet
-    double latency_ms = 0;    ///< smoothed
+    double slowness = 1;      ///< smoothed latency, relative to the usual one of the kind
+    std::uint64_t samples = 0;
+    time_point last_sample;
+    double wait_ms = 0; ///< queue wait that the node beside the target reported last
+    time_point wait_reported;
     unsigned failures_in_row = 0;
-    time_point first_seen;
+    time_point ramp_start; ///< a new or returning target takes its full share 10 s later
+    bool ejected = false;
+    time_point ejected_until;
+    unsigned ejections = 0; ///< in a row; each one lasts longer
+    bool probing = false;   ///< a single call tests a target whose ejection is over
+};
+
+/// Usual latency of calls of one kind, over all targets of its service.
+struct kind_latency {
+    double mean_ms = 0;
+    std::uint64_t samples = 0;
 };
 
 /// Targets of all services, by node id.
 struct target_table {
     std::map<std::string, target_stats, std::less<>> targets;
     std::map<std::string, std::size_t, std::less<>> round_robin; ///< per service, for the baselines
+    std::map<std::string, kind_latency, std::less<>> kinds;
+    std::optional<time_point> started; ///< first update of the table
+    std::string node;                  ///< this node, for its subset of the targets
+    std::string domain;                ///< of this node
+    std::map<std::string, std::vector<std::string>, std::less<>> subsets; ///< targets used, by service
 };
 
 /// Takes over members that have a target; measurements of a known incarnation are kept.
@@ -48,8 +67,21 @@
                                               std::span<const std::string> tried);
 
 void on_sent(target_table& table, std::string_view node);
-/// Records the end of a call; `latency` is set when the target answered.
-void on_ended(target_table& table, std::string_view node, outcome_kind outcome,
-              std::optional<duration> latency);
+
+/// What a call to a target has shown.
+struct call_result {
+    std::string_view kind;
+    outcome_kind outcome = outcome_kind::unknown;
+    bool failed = false;             ///< no answer from the target, or none in time
+    std::optional<duration> latency; ///< if the target answered
+    milliseconds wait{0};            ///< reported queue wait
+};
+
+/// Records the end of a call.
+void on_ended(target_table& table, std::string_view node, const call_result& ended, time_point now);
+
+/// Ejects targets that are three times slower than the median of their peers or failed 5 times in a row, and
+/// ends ejections whose time is over. At most a third of a service's targets is ejected at a time.
+void update_ejections(target_table& table, time_point now);
 
 } // namespace baobabswitch
--- a/src/libbaobabswitch/targetside.cpp
+++ b/src/libbaobabswitch/targetside.cpp
@@ -485,6 +485,7 @@
 } // namespace
 
 void tick_target_side(node_state& node, time_point now) {
+    update_ejections(node.choice, now);
     update_measurements(node, now);
     update_demand(node, now);
     if (node.target.state != target_state::none && node.target.state != target_state::down &&
