--- a/src/libbaobabswitch/nodestate.h
+++ b/src/libbaobabswitch/nodestate.h
@@ -54,10 +54,10 @@
     http_client::exchange_id exchange = 0;
     time_point received;
     time_point started;
-    duration child_time{0}; ///< time spent in completed child calls
     /// Non-idempotent child calls by their label.
     std::map<std::string, std::shared_ptr<key_record>> labels;
     std::vector<std::weak_ptr<outgoing_call>> children; ///< child calls on their way
+    duration child_time{0};                             ///< spent in completed child calls
 };
 
 class promise_service;
