Do not spread entries learnt from slices as changes

A node that starts learns the table by slices and then sent each entry on in several messages, which used the budget that its own requests need.

--- a/src/libbaobabswitch/gossip.cpp
+++ b/src/libbaobabswitch/gossip.cpp
@@ -346,8 +346,15 @@
     auto* news = message.contains("u") ? &pushed : nullptr;
     if (const auto it = message.find("m"); it != message.end()) {
         for (const auto& row : *it) {
-            if (const auto entry = member_from_json(row)) {
-                take_entry(state, entry.value(), news, pushed, now);
+            const auto entry = member_from_json(row);
+            if (!entry) {
+                continue;
+            }
+            const auto revision = state.revision;
+            take_entry(state, entry.value(), news, pushed, now);
+            if (message.contains("z") && state.revision != revision && entry.value().node != state.self) {
+                // What a slice brings is old news to the others; digests find those that lack it.
+                state.contacts[entry.value().node].sent = spread_limit(state);
             }
         }
     }
