--- /dev/null
+++ b/src/libbaobabswitch/hedging.cpp
@@ -0,0 +1,51 @@
+#include "hedging.h"
+
+#include <algorithm>
+
+namespace baobabswitch {
+
+namespace {
+
+constexpr std::size_t kept_latencies = 200;
+constexpr std::size_t least_latencies = 20;
+constexpr double percentile = 0.95;
+constexpr double greatest_credit = 5; ///< bounds the burst of hedges after a quiet time
+constexpr double percent_unit = 100;
+
+} // namespace
+
+void record_latency(hedge_table& table, const std::string& kind, duration latency) {
+    auto& it = table.kinds[kind];
+    const double ms = std::chrono::duration<double, std::milli>(latency).count();
+    if (it.ms.size() < kept_latencies) {
+        it.ms.push_back(ms);
+        return;
+    }
+    it.ms.at(it.next) = ms;
+    it.next = (it.next + 1) % kept_latencies;
+}
+
+std::optional<duration> hedge_delay(const hedge_table& table, std::string_view kind) {
+    const auto found = table.kinds.find(kind);
+    if (found == table.kinds.end() || found->second.ms.size() < least_latencies) {
+        return std::nullopt;
+    }
+    auto ms = found->second.ms;
+    const auto at = ms.begin() + static_cast<std::ptrdiff_t>(static_cast<double>(ms.size() - 1) * percentile);
+    std::nth_element(ms.begin(), at, ms.end());
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(*at));
+}
+
+void add_hedge_credit(hedge_table& table, unsigned percent) {
+    table.credit = std::min(greatest_credit, table.credit + percent / percent_unit);
+}
+
+bool take_hedge(hedge_table& table) {
+    if (table.credit < 1) {
+        return false;
+    }
+    table.credit -= 1;
+    return true;
+}
+
+} // namespace baobabswitch
--- a/src/libbaobabswitch/nodestate.h
+++ b/src/libbaobabswitch/nodestate.h
@@ -6,6 +6,7 @@
 #include "concurrency.h"
 #include "configdocument.h"
 #include "eventloop.h"
+#include "hedging.h"
 #include "httpclient.h"
 #include "httpserver.h"
 #include "invariants.h"
@@ -86,6 +87,7 @@
     std::shared_ptr<const configuration> config;
     member_table members;
     target_table choice;
+    hedge_table hedges;
     local_target target;
     admission_table admission;
     concurrency_limit concurrency;                      ///< of the local target
--- a/src/libbaobabswitch/outgoingcall.cpp
+++ b/src/libbaobabswitch/outgoingcall.cpp
@@ -78,14 +78,13 @@
     }
     cancelled_ = true;
     trace_call(node_, info_.request, info_.call, "cancelled", "nobody waits for the answer");
-    if (exchange_ == 0) {
-        return;
-    }
-    if (record_ == nullptr) {
-        node_.peers.cancel(exchange_);
-    } else if (!node_.peers.cancel_if_unsent(exchange_)) {
-        node_.peers.send(peer_, make_peer_request(node_, "POST", "/n/cancel/" + info_.call, {}, ""),
-                         cancel_timeout, [](const http_result&) {});
+    for (const auto& it : std::vector{open_}) {
+        if (record_ == nullptr) {
+            node_.peers.cancel(it.exchange);
+        } else if (!node_.peers.cancel_if_unsent(it.exchange)) {
+            node_.peers.send(it.peer, make_peer_request(node_, "POST", "/n/cancel/" + it.call, {}, ""),
+                             cancel_timeout, [](const http_result&) {});
+        }
     }
 }
 
@@ -97,6 +96,9 @@
     const auto now = clock::now();
     const auto left_time = remaining(info_, now) - transit_allowance;
     if (left_time <= milliseconds{0}) {
+        if (!open_.empty()) {
+            return; // a hedge comes too late; the first attempt goes on
+        }
         finish(make_failure(outcome_kind::not_run, error_kind::expired,
                             "the call's time ran out before a target took it",
                             "allow more time, or try again when load is lower"));
@@ -106,6 +108,9 @@
     const auto target = baseline ? choose_round_robin(node_.choice, info_.service, tried_)
                                  : choose_target(node_.choice, info_.service, tried_, node_.rng, now);
     if (!target) {
+        if (!open_.empty()) {
+            return;
+        }
         finish(make_failure(outcome_kind::not_run, error_kind::no_target,
                             "no target of service \"" + info_.service + "\" can take the call",
                             "check with baobabswitchctl status that targets of the service are up"));
@@ -116,23 +121,65 @@
     on_sent(node_.choice, *target);
     trace_call(node_, info_.request, info_.call, "target-chosen", *target);
     mark_sent(marks(), info_.idempotent, node_.invariants);
-    peer_ = node_.choice.targets.find(*target)->second.address;
-    exchange_ =
-        node_.peers.send(peer_, make_hop_request(node_, info_, loan, left_time), remaining(info_, now),
-                         [self = shared_from_this(), target = *target, loan, now](http_result outcome) {
-                             self->on_result(target, loan, now, std::move(outcome));
-                         });
+    const auto peer = node_.choice.targets.find(*target)->second.address;
+    const auto exchange = node_.peers.send(
+        peer, make_hop_request(node_, info_, loan, left_time), remaining(info_, now),
+        [self = shared_from_this(), target = *target, call = info_.call, loan, now](http_result outcome) {
+            self->on_result(target, call, loan, now, std::move(outcome));
+        });
+    open_.push_back({exchange, peer, info_.call});
+    if (!baseline && tried_.empty()) {
+        tried_.push_back(*target);
+        schedule_hedge(now);
+    }
 }
 
-void outgoing_call::on_result(const std::string& target, unsigned loan, time_point sent_at,
-                              http_result outcome) {
-    exchange_ = 0;
+/// Plans a second attempt for the case that the first one takes longer than most of its kind.
+void outgoing_call::schedule_hedge(time_point now) {
+    if (!info_.idempotent || record_ != nullptr) {
+        return;
+    }
+    add_hedge_credit(node_.hedges, node_.config->policy.hedge_percent);
+    const auto delay = hedge_delay(node_.hedges, info_.kind);
+    if (delay && now + *delay < info_.deadline) {
+        hedge_timer_ = node_.loop.schedule(*delay, [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->hedge();
+            }
+        });
+    }
+}
+
+void outgoing_call::hedge() {
+    // In overload a hedge would take a slot that other work needs.
+    const bool overloaded = threshold_level(node_.thresholds, info_.service, info_.kind, clock::now()) > 0;
+    if (finished_ || cancelled_ || open_.size() != 1 || overloaded || untried_targets() == 0 ||
+        left(ledger_) == 0 || !take_hedge(node_.hedges) || !take(ledger_, node_.invariants)) {
+        return;
+    }
+    node_.metrics.count_event("hedge");
+    trace_call(node_, info_.request, info_.call, "hedge", "no answer within the usual time");
+    attempt();
+}
+
+std::size_t outgoing_call::untried_targets() const {
+    const auto& targets = node_.choice.targets;
+    return static_cast<std::size_t>(std::count_if(targets.begin(), targets.end(), [&](const auto& it) {
+        return it.second.service == info_.service && it.second.available &&
+               std::find(tried_.begin(), tried_.end(), it.first) == tried_.end();
+    }));
+}
+
+void outgoing_call::on_result(const std::string& target, const std::string& call, unsigned loan,
+                              time_point sent_at, http_result outcome) {
+    const auto now = clock::now();
+    std::erase_if(open_, [&](const auto& it) { return it.call == call; });
     call_outcome parsed;
     std::optional<duration> latency;
     if (auto* response = std::get_if<http_response>(&outcome)) {
         parsed = parse_hop_response(std::move(*response));
         if (parsed.kind == outcome_kind::done &&
-            !check(node_.invariants, invariant::whole_answer, answer_belongs_to(parsed, info_.call),
+            !check(node_.invariants, invariant::whole_answer, answer_belongs_to(parsed, call),
                    "an answer has another call's id or length")) {
             parsed = make_failure(outcome_kind::unknown, error_kind::target_garbage,
                                   "the answer belongs to another call or is incomplete",
@@ -143,7 +190,8 @@
         learn_thresholds(node_.thresholds, info_.service, target, std::move(parsed.thresholds), clock::now());
         report_to_parent();
         if (parsed.kind == outcome_kind::done) {
-            latency = clock::now() - sent_at;
+            latency = now - sent_at;
+            record_latency(node_.hedges, info_.kind, *latency);
         }
     } else {
         const auto& failure = std::get<http_failure>(outcome);
@@ -151,16 +199,28 @@
         // When the answer is lost, what was lent counts as spent.
         give_back(ledger_, loan, failure.sent ? loan : 0, node_.invariants);
     }
+    const bool lost_to_hedge = finished_ && !cancelled_ && parsed.kind != outcome_kind::done;
+    if (const auto usual = hedge_delay(node_.hedges, info_.kind);
+        lost_to_hedge && usual && now - sent_at > *usual) {
+        // The attempt would have taken at least this long.
+        latency = now - sent_at;
+    }
     const bool failed = parsed.kind == outcome_kind::unknown ||
                         (parsed.cause && parsed.cause->kind == error_kind::target_failed);
-    on_ended(node_.choice, target, {info_.kind, parsed.kind, failed && !cancelled_, latency, parsed.wait},
+    on_ended(node_.choice, target,
+             {info_.kind, parsed.kind, failed && !cancelled_ && !lost_to_hedge, latency, parsed.wait},
              clock::now());
     tried_.push_back(target);
-    trace_call(node_, info_.request, info_.call, "attempt-ended",
+    trace_call(node_, info_.request, call, "attempt-ended",
                target + ": " + std::string{outcome_name(parsed.kind)} +
                    (parsed.cause ? ", " + describe(*parsed.cause) : ""));
     if (parsed.kind == outcome_kind::not_run) {
         mark_not_run(marks());
+    }
+    if (finished_ || (parsed.kind != outcome_kind::done && !open_.empty() && !cancelled_)) {
+        return; // the other attempt decides
+    }
+    if (parsed.kind == outcome_kind::not_run) {
         on_not_run(std::move(parsed));
     } else if (parsed.kind == outcome_kind::unknown) {
         on_unknown(std::move(parsed));
@@ -201,11 +261,7 @@
     const bool below =
         threshold_level(node_.thresholds, info_.service, info_.kind, clock::now()) > info_.importance;
     const bool terminal = below || (outcome.cause && outcome.cause->kind == error_kind::expired);
-    const auto others =
-        std::count_if(node_.choice.targets.begin(), node_.choice.targets.end(), [&](const auto& it) {
-            return it.second.service == info_.service && it.second.available &&
-                   std::find(tried_.begin(), tried_.end(), it.first) == tried_.end();
-        });
+    const auto others = untried_targets();
     const bool baseline = node_.config->policy.mode != policy_mode::baobabswitch;
     if (!terminal && (others > 0 || baseline) && may_retry()) {
         attempt();
@@ -227,6 +283,12 @@
         return;
     }
     finished_ = true;
+    hedge_timer_.cancel();
+    if (record_ == nullptr) {
+        for (const auto& it : std::vector{open_}) {
+            node_.peers.cancel(it.exchange);
+        }
+    }
     if (outcome.kind == outcome_kind::not_run && marks().open > 0) {
         // An earlier attempt may have run, so the request as a whole is not certain to be "not run".
         outcome.kind = outcome_kind::unknown;
--- a/src/libbaobabswitch/outgoingcall.h
+++ b/src/libbaobabswitch/outgoingcall.h
@@ -29,7 +29,11 @@
     bool passes_threshold();
     void report_to_parent();
     void attempt();
-    void on_result(const std::string& target, unsigned loan, time_point sent_at, http_result outcome);
+    void schedule_hedge(time_point now);
+    void hedge();
+    std::size_t untried_targets() const;
+    void on_result(const std::string& target, const std::string& call, unsigned loan, time_point sent_at,
+                   http_result outcome);
     void on_not_run(call_outcome outcome);
     void on_unknown(call_outcome outcome);
     void finish(call_outcome outcome);
@@ -44,8 +48,13 @@
     callback on_done_;
     std::vector<std::string> tried_;
     unsigned local_retries_ = 0; ///< baselines only
-    http_client::exchange_id exchange_ = 0;
-    endpoint peer_; ///< of the exchange
+    struct open_attempt {
+        http_client::exchange_id exchange = 0;
+        endpoint peer;
+        std::string call;
+    };
+    std::vector<open_attempt> open_; ///< more than one while a hedge runs
+    timer_handle hedge_timer_;
     bool finished_ = false;
     bool cancelled_ = false;
 };
