--- a/src/libbaobabswitch/nodestate.h
+++ b/src/libbaobabswitch/nodestate.h
@@ -12,6 +12,7 @@
 #include "invariants.h"
 #include "membership.h"
 #include "metrics.h"
+#include "peerprobe.h"
 #include "requestkeys.h"
 #include "retryledger.h"
 #include "servicetimes.h"
@@ -88,6 +89,7 @@
     member_table members;
     target_table choice;
     hedge_table hedges;
+    probe_table probes;
     local_target target;
     admission_table admission;
     concurrency_limit concurrency;                      ///< of the local target
