Keep the parts of a comparison apart and give each deployment its own addresses

A backlog of the policy direct outlasted the crest and lowered its goodput at 0.5 and 1 times capacity. Two deployments of one process shared their addresses, which the new check that executions are recorded found. A workload file may again leave out slow_service.

--- a/src/baobabswitch-bench/summary.cpp
+++ b/src/baobabswitch-bench/summary.cpp
@@ -192,13 +192,13 @@
         }
         std::ifstream in{it.path()};
         auto report = json::parse(in, nullptr, false);
-        if (report.is_object() && report.value("scenario", "") == "all") {
+        if (report.is_object() && report.value("scenario", "") == "compare") {
             groups[report.value("workload", "")][report.value("policy", "")].push_back(std::move(report));
         }
     }
     if (groups.empty()) {
-        return error{error_kind::not_found, "there is no report of the scenario \"all\" in " + folder,
-                     "run baobabswitch-bench run --scenario all --report FOLDER/NAME.json first"};
+        return error{error_kind::not_found, "there is no report of the scenario \"compare\" in " + folder,
+                     "run baobabswitch-bench run --scenario compare --report FOLDER/NAME.json first"};
     }
     std::ofstream markdown{folder + "/measurements.md"};
     std::ofstream html{folder + "/index.html"};
--- a/src/libdeployment/deployment.cpp
+++ b/src/libdeployment/deployment.cpp
@@ -41,10 +41,14 @@
 constexpr std::uint16_t platform_port = 7300;
 constexpr std::uint16_t proxy_port = 7500;
 
-/// Addresses 127.<a>.<b>.* follow from the process id, so that deployments side by side don't clash.
+/// Addresses 127.<a>.<b>.* follow from the process id and the number of the deployment in this process, so
+/// that deployments side by side don't clash.
 std::string address_block() {
-    const auto n = static_cast<unsigned>(getpid());
-    return "127." + std::to_string(1 + n / 250 % 250) + "." + std::to_string(n % 250) + ".";
+    constexpr unsigned values = 250;          // of each of the two bytes
+    constexpr unsigned process_stride = 7919; // a prime far above the distance of processes' ids
+    static unsigned started = 0;
+    const auto n = static_cast<unsigned>(getpid()) + process_stride * started++;
+    return "127." + std::to_string(1 + n / values % values) + "." + std::to_string(n % values) + ".";
 }
 
 void write_file(const std::string& file_name, const std::string& text) {
--- a/src/libdeployment/scenario.cpp
+++ b/src/libdeployment/scenario.cpp
@@ -17,6 +17,7 @@
 constexpr double normal_demand = 0.6;
 constexpr double surge_demand = 3;
 constexpr double stop_timeout_seconds = 10;
+constexpr double drain_seconds = 6; ///< longer than the longest timeout of a kind
 /// Share of the tightest service that the most important kind may fill at the crest, so that its own demand
 /// fits with room for chance.
 constexpr double top_kind_fill = 0.8;
@@ -255,6 +256,37 @@
     std::move(more.begin(), more.end(), std::back_inserter(phases));
 }
 
+/// Returns the phases of all measures. Without control a backlog outlasts its cause, so pauses without demand
+/// keep the parts of a comparison apart; they are left out if drain is 0.
+std::vector<phase> all_phases(const workload& load, double drain) {
+    std::vector<phase> phases;
+    const auto pause = [&] {
+        if (drain > 0) {
+            phases.push_back(steady("drain", phase_role::warm_up, drain, 0));
+        }
+    };
+    const auto level = [&](double demand) {
+        phases.push_back(steady("onset", phase_role::warm_up, 1, demand));
+        phases.push_back(steady("level", phase_role::level, 3, demand));
+    };
+    level(0.5);
+    level(1);
+    pause();
+    append(phases, short_behind_long_phases(load));
+    pause();
+    append(phases, slow_target_phases(load));
+    pause();
+    append(phases, crest_phases(load));
+    pause();
+    for (const double demand : {2.0, 5.0}) {
+        level(demand);
+        phases.push_back(steady("settle", phase_role::warm_up, 2, drain > 0 ? 0 : 0.2));
+        pause();
+    }
+    append(phases, surge_phases(normal_demand));
+    return phases;
+}
+
 } // namespace
 
 std::string longest_kind(const workload& load) {
@@ -299,19 +331,9 @@
         {"platform-outage", "the platform gives no answer for 6 s", platform_outage_phases(), false, true});
     list.push_back({"config-race", "operators at four nodes change the document at the same time",
                     config_race_phases(), false, true});
-    scenario all{"all", "the phases of all five measures in one run", {}};
-    append(all.phases, short_behind_long_phases(load));
-    append(all.phases, slow_target_phases(load));
-    append(all.phases, crest_phases(load));
-    for (const double demand : {0.5, 1.0, 2.0, 5.0}) {
-        all.phases.push_back(steady("onset", phase_role::warm_up, 1, demand));
-        all.phases.push_back(steady("level", phase_role::level, 3, demand));
-        if (demand > 1) {
-            all.phases.push_back(steady("settle", phase_role::warm_up, 2, 0.2));
-        }
-    }
-    append(all.phases, surge_phases(normal_demand));
-    list.push_back(all);
+    list.push_back({"all", "the phases of all five measures in one run", all_phases(load, 0)});
+    list.push_back({"compare", "the same with pauses in which a backlog drains, for comparing policies",
+                    all_phases(load, drain_seconds)});
     return list;
 }
 
--- a/src/libdeployment/workload.cpp
+++ b/src/libdeployment/workload.cpp
@@ -50,7 +50,7 @@
         root.at("domains").get_to(load.domains);
         root.at("domain_latency_ms").get_to(load.domain_latency_ms);
         root.at("client_latency_ms").get_to(load.client_latency_ms);
-        root.at("slow_service").get_to(load.slow_service);
+        load.slow_service = root.value("slow_service", "");
         for (const auto& [name, value] : root.at("services").items()) {
             load.services[name] = {value.at("servers"), value.at("slots"), value.at("connections")};
         }
--- a/src/libdeployment/workload.h
+++ b/src/libdeployment/workload.h
@@ -33,7 +33,7 @@
     std::vector<std::string> domains;
     double domain_latency_ms = 0; ///< one way
     double client_latency_ms = 0; ///< one way
-    std::string slow_service;     ///< deep service that the scenario slow-ledger slows down
+    std::string slow_service;     ///< deep service that the scenario slow-ledger slows down; may be empty
     std::map<std::string, workload_service> services;
     std::map<std::string, workload_kind> kinds;
 };
