Send nothing while the planned demand is zero

The next arrival after a pause was drawn at a rate of 0.1 a second, so that a pause swallowed the phases after it. A rate of zero is now looked at again every 20 ms.

--- a/src/libdeployment/loadgenerator.cpp
+++ b/src/libdeployment/loadgenerator.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds answer_slack{100}; ///< a client waits this much longer than its timeout
 constexpr milliseconds avoid_time{1000};  ///< a node that is going away gets no request for so long
 constexpr int node_draws = 8;
+constexpr milliseconds idle_step{20}; ///< how often a rate of zero is looked at again
 
 http_client_options client_options() {
     http_client_options options;
@@ -80,8 +81,12 @@
             }
             return;
         }
+        const double rate = options_.rate(at);
+        if (rate <= 0) {
+            next_ += idle_step;
+            continue;
+        }
         issue(next_);
-        const double rate = std::max(options_.rate(at), 0.1);
         const double gap = std::exponential_distribution<double>{rate}(rng_);
         next_ += std::chrono::duration_cast<duration>(std::chrono::duration<double>(gap));
     }
