--- a/src/baobabswitch-bench/cost.cpp
+++ b/src/baobabswitch-bench/cost.cpp
@@ -23,7 +23,6 @@
 using json = nlohmann::json;
 
 constexpr double percent = 100;
-constexpr double ms_per_second = 1000;
 
 /// Connections on which one request was answered and that stay open.
 class idle_connections {
@@ -222,6 +221,7 @@
     pause_for(settle_seconds);
     const auto& vms = deployed.vms();
     std::vector<node_reading> before;
+    before.reserve(vms.size());
     for (const auto& it : vms) {
         before.push_back(read_node(it));
     }
