--- a/src/libbaobabswitch/nodeactors.cpp
+++ b/src/libbaobabswitch/nodeactors.cpp
@@ -77,7 +77,8 @@
     }};
 }
 
-caf::behavior platform_behavior(caf::event_based_actor*) {
+/// The argument keeps CAF 0.17 from binding a reference to its empty argument tuple, which UBSan reports.
+caf::behavior platform_behavior(caf::event_based_actor*, sharing_service::impl*) {
     return {[](const platform_job& job) {
         job.fn();
     }};
@@ -195,8 +196,8 @@
     it.state = make_sharing_state(it.last_own, node.settings.seeds, it.store != nullptr,
                                   std::random_device{}(), node.invariants, clock::now());
     it.owner_actor = system.spawn(owner_behavior, impl_.get());
-    it.watch_actor = system.spawn<caf::detached>(platform_behavior);
-    it.status_actor = system.spawn<caf::detached>(platform_behavior);
+    it.watch_actor = system.spawn<caf::detached>(platform_behavior, impl_.get());
+    it.status_actor = system.spawn<caf::detached>(platform_behavior, impl_.get());
     if (!initial_document.is_null()) {
         it.submit([document = std::move(initial_document)](sharing_state& state) {
             return start_with_document(state, document, clock::now());
