--- a/src/baobabswitch-bench/main.cpp
+++ b/src/baobabswitch-bench/main.cpp
@@ -132,12 +132,39 @@
     return print_json(args, measure_idle(*started.value(), settle_seconds, args["seconds"].as<double>()));
 }
 
+/// Keeps a deployment running until a signal ends it, for trying the client and the console.
+int run_serve(const cxxopts::ParseResult& args) {
+    auto options = make_deployment_options(args);
+    options.platform = true;
+    auto started = deployment::start(options);
+    if (!started) {
+        return report(started.error());
+    }
+    const auto& it = *started.value();
+    std::string admins;
+    for (const auto& vm : it.vms()) {
+        admins += (admins.empty() ? "" : ",") + to_string(vm.admin);
+    }
+    const auto& first = it.vms().front();
+    std::cout << "export PATH=" << options.binaries << ":$PATH\n"
+              << "export BAOBABSWITCH_PLATFORM=" << to_string(it.platform_address()) << '\n'
+              << "export BAOBABSWITCH_NODES=" << admins << '\n'
+              << "export BAOBABSWITCH_TOKEN=" << deployment::operator_credential() << '\n'
+              << "# calls:   http://" << to_string(first.listen) << "/v1/call/SERVICE/PATH\n"
+              << "# console: http://" << to_string(first.admin) << "/console\n"
+              << "# Ctrl-C ends the deployment" << std::endl;
+    event_loop loop;
+    loop.on_termination_signal([&loop] { loop.stop(); });
+    loop.run();
+    return EXIT_SUCCESS;
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
     cxxopts::Options options{"baobabswitch-bench", "Load and experiment tool."};
-    options.positional_help("run|cost|scale|summary");
-    options.add_options()("command", "run, cost, scale or summary",
+    options.positional_help("run|serve|cost|scale|summary");
+    options.add_options()("command", "run, serve, cost, scale or summary",
                           cxxopts::value<std::string>()->default_value("run"))(
         "workload", "vodnik or authority", cxxopts::value<std::string>()->default_value("vodnik"))(
         "workloads", "folder of workload files", cxxopts::value<std::string>()->default_value("workloads"))(
@@ -168,6 +195,9 @@
             return list_scenarios(args);
         }
         const auto command = args["command"].as<std::string>();
+        if (command == "serve") {
+            return run_serve(args);
+        }
         if (command == "cost") {
             return run_cost(args);
         }
@@ -180,7 +210,7 @@
         }
         if (command != "run") {
             return report({error_kind::not_found, "there is no command \"" + command + "\"",
-                           "use run, cost, scale or summary"});
+                           "use run, serve, cost, scale or summary"});
         }
         return run(args);
     } catch (const cxxopts::exceptions::exception& ex) {
--- a/src/libdeployment/deployment.cpp
+++ b/src/libdeployment/deployment.cpp
@@ -251,6 +251,10 @@
     return response && response->status == 200;
 }
 
+std::string deployment::operator_credential() {
+    return operator_token;
+}
+
 const endpoint& deployment::platform_address() const {
     return platform_;
 }
--- a/src/libdeployment/deployment.h
+++ b/src/libdeployment/deployment.h
@@ -88,6 +88,8 @@
     /// Sets faults of the stand-in platform. Needs options.platform.
     bool control_platform(const std::string& json) const;
     const endpoint& platform_address() const;
+    /// Returns the operators' token that the nodes of a deployment accept.
+    static std::string operator_credential();
     /// Reads the document through a node, changes it and writes it back on condition. Returns the HTTP status
     /// of the write (0: no answer) and the accepted version (0: none). Needs options.platform.
     std::pair<int, std::uint64_t> change_config(std::size_t vm, const std::string& author,
