--- a/src/baobabswitch-bench/main.cpp
+++ b/src/baobabswitch-bench/main.cpp
@@ -141,17 +141,24 @@
         return report(started.error());
     }
     const auto& it = *started.value();
+    // The nodes start from a file; this makes its document the configuration that the platform holds.
+    const auto [status, version] = it.change_config(0, "serve", [](nlohmann::json&) {});
+    if (version == 0) {
+        return report({error_kind::store_unavailable,
+                       "the first configuration was not accepted, status " + std::to_string(status),
+                       "set BAOBABSWITCH_KEEP_LOGS=1 and see the logs of the nodes"});
+    }
     std::string admins;
     for (const auto& vm : it.vms()) {
         admins += (admins.empty() ? "" : ",") + to_string(vm.admin);
     }
-    const auto& first = it.vms().front();
+    const auto& entry = it.vms().back();
     std::cout << "export PATH=" << options.binaries << ":$PATH\n"
               << "export BAOBABSWITCH_PLATFORM=" << to_string(it.platform_address()) << '\n'
               << "export BAOBABSWITCH_NODES=" << admins << '\n'
               << "export BAOBABSWITCH_TOKEN=" << deployment::operator_credential() << '\n'
-              << "# calls:   http://" << to_string(first.listen) << "/v1/call/SERVICE/PATH\n"
-              << "# console: http://" << to_string(first.admin) << "/console\n"
+              << "# calls:   http://" << to_string(entry.listen) << "/v1/call/SERVICE/PATH\n"
+              << "# console: http://" << to_string(entry.admin) << "/console\n"
               << "# Ctrl-C ends the deployment" << std::endl;
     event_loop loop;
     loop.on_termination_signal([&loop] { loop.stop(); });
