--- a/src/libbaobabswitch/nodeactors.cpp
+++ b/src/libbaobabswitch/nodeactors.cpp
@@ -4,6 +4,7 @@
 #include "peermessages.h"
 #include "sharing.h"
 #include "targetside.h"
+#include "wallclock.h"
 
 #include <caf/all.hpp>
 
@@ -35,11 +36,6 @@
 /// A whole document is up to 1 MB.
 constexpr milliseconds fetch_timeout{2000};
 
-std::uint64_t wall_clock_ms() {
-    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since_epoch).count());
-}
-
 } // namespace
 
 struct sharing_service::impl : std::enable_shared_from_this<sharing_service::impl> {
--- a/src/libbaobabswitch/promisedcalls.cpp
+++ b/src/libbaobabswitch/promisedcalls.cpp
@@ -1,6 +1,7 @@
 #include "promisedcalls.h"
 
 #include "outgoingcall.h"
+#include "wallclock.h"
 
 #include <nlohmann/json.hpp>
 
@@ -18,11 +19,6 @@
 constexpr double least_pace = 1;
 constexpr double greatest_pace = 20; ///< promised calls of one service that this node runs at the same time
 
-std::uint64_t wall_clock_ms() {
-    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since_epoch).count());
-}
-
 call_outcome promised_outcome(const std::string& key) {
     call_outcome outcome;
     outcome.kind = outcome_kind::promised;
--- a/src/libbaobabswitch/promiseservice.cpp
+++ b/src/libbaobabswitch/promiseservice.cpp
@@ -1,6 +1,7 @@
 #include "promiseservice.h"
 
 #include "log.h"
+#include "wallclock.h"
 
 #include <caf/all.hpp>
 
@@ -26,11 +27,6 @@
 
 using tick_atom = caf::atom_constant<caf::atom("tick")>;
 
-std::uint64_t wall_clock_ms() {
-    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since_epoch).count());
-}
-
 } // namespace
 
 struct promise_service::impl {
