--- a/src/libbaobabswitch/eventloop.cpp
+++ b/src/libhttp/eventloop.cpp
@@ -70,6 +70,18 @@
     });
 }
 
+void event_loop::on_reload_signal(std::function<void()> fn) {
+    if (!impl_->reload_signals) {
+        impl_->reload_signals.emplace(impl_->context, SIGHUP);
+    }
+    impl_->reload_signals->async_wait([this, fn = std::move(fn)](boost::system::error_code ec, int) {
+        if (!ec) {
+            fn();
+            on_reload_signal(fn);
+        }
+    });
+}
+
 event_loop::impl& event_loop::implementation() {
     return *impl_;
 }
--- a/src/libbaobabswitch/eventloop.h
+++ b/src/libhttp/eventloop.h
@@ -51,6 +51,9 @@
     /// Calls the function once on SIGTERM or SIGINT.
     void on_termination_signal(std::function<void()> fn);
 
+    /// Calls the function on each SIGHUP.
+    void on_reload_signal(std::function<void()> fn);
+
     impl& implementation();
 
 private:
--- a/src/libbaobabswitch/eventloopimpl.h
+++ b/src/libhttp/eventloopimpl.h
@@ -2,6 +2,7 @@
 
 #include "eventloop.h"
 
+#include <optional>
 #include <utility> // Asio 1.74 uses std::exchange without including it
 
 #include <boost/asio/io_context.hpp>
@@ -13,6 +14,7 @@
 struct event_loop::impl {
     boost::asio::io_context context{1};
     boost::asio::signal_set signals{context};
+    std::optional<boost::asio::signal_set> reload_signals;
 };
 
 } // namespace baobabswitch
--- a/src/libbaobabswitch/httpclient.cpp
+++ b/src/libhttp/httpclient.cpp
@@ -13,6 +13,8 @@
 #include <map>
 #include <unordered_map>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace asio = boost::asio;
@@ -75,6 +77,42 @@
 
 using client_impl = http_client::impl;
 
+/// Answers to other requests that are passed over before a connection is given up.
+constexpr unsigned max_foreign_answers = 4;
+
+void set_integer_option(int socket, int level, int name, int value) {
+    // A refused option only delays the detection of a dead peer, which the exchange's timeout bounds.
+    (void)::setsockopt(socket, level, name, &value, sizeof value);
+}
+
+void set_liveness_options(int socket, const http_client_options& options) {
+    if (options.user_timeout.count() > 0) {
+        set_integer_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(options.user_timeout.count()));
+    }
+    if (options.keepalive_probe.count() > 0) {
+        const auto seconds = static_cast<int>(options.keepalive_probe.count());
+        set_integer_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+        set_integer_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, seconds);
+        set_integer_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, seconds);
+        set_integer_option(socket, IPPROTO_TCP, TCP_KEEPCNT, 2);
+    }
+}
+
+/// Returns the idle time that the peer announces, shortened so that this side closes first.
+std::optional<duration> announced_idle_time(std::string_view keep_alive) {
+    constexpr std::string_view name = "timeout=";
+    const auto start = keep_alive.find(name);
+    if (start == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto digits = keep_alive.substr(start + name.size());
+    const auto seconds = parse_number(digits.substr(0, digits.find_first_not_of("0123456789")));
+    if (!seconds) {
+        return std::nullopt;
+    }
+    return milliseconds{std::min<std::uint64_t>(*seconds, 3600) * 800};
+}
+
 class connection final : public std::enable_shared_from_this<connection> {
 public:
     connection(client_impl& client, endpoint peer)
@@ -88,9 +126,6 @@
     bool is_open() const {
         return open_;
     }
-    time_point idle_since() const {
-        return idle_since_;
-    }
     /// Reports whether nothing has arrived since the last answer. Bytes that come unasked, such as a second
     /// answer, must not become the answer to the next request, and the end of the stream makes the
     /// connection useless.
@@ -116,37 +151,46 @@
             asio::post(stream_.get_executor(), [self = shared_from_this(), ec] { self->connected(ec); });
             return;
         }
+        set_liveness_options(stream_.socket().native_handle(), options);
         stream_.expires_after(options.connect_timeout);
         stream_.async_connect(remote,
                               [self = shared_from_this()](error_code code) { self->connected(code); });
     }
 
-    void start(std::shared_ptr<exchange> it, const http_limits& limits) {
+    bool is_expired(duration limit) const {
+        return clock::now() - idle_since_ > std::min(limit, idle_limit_);
+    }
+
+    void start(std::shared_ptr<exchange> it, const http_client_options& options) {
         exchange_ = std::move(it);
+        limits_ = options.limits;
+        foreign_answers_ = 0;
+        correlation_header_ = options.correlation_header;
+        expected_id_ = correlation_header_.empty()
+                           ? std::string{}
+                           : std::string{header_or_empty(exchange_->request.headers, correlation_header_)};
         exchange_->carrier = shared_from_this();
         exchange_->sent = true;
         message_.emplace();
         message_->version(11);
         message_->method_string(exchange_->request.method);
         message_->target(exchange_->request.target);
-        message_->set(http::field::host, to_string(peer_));
+        if (!find_header(exchange_->request.headers, "Host")) {
+            message_->set(http::field::host, to_string(peer_));
+        }
         for (const auto& [name, value] : exchange_->request.headers) {
             message_->insert(name, value);
         }
         message_->body() = std::move(exchange_->request.body);
         message_->prepare_payload();
-        parser_.emplace();
-        parser_->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
-        parser_->body_limit(limits.body_bytes);
+        without_body_ = exchange_->request.method == "HEAD";
         http::async_write(stream_, *message_, [self = shared_from_this()](error_code ec, std::size_t) {
             self->message_.reset();
             if (ec && self->exchange_) {
                 self->failed(ec);
             }
         });
-        http::async_read(
-            stream_, buffer_, *parser_,
-            [self = shared_from_this()](error_code ec, std::size_t n) { self->answered(ec, n); });
+        read_answer();
     }
 
     /// Detects that the peer closed an idle connection, so that it isn't reused.
@@ -172,6 +216,25 @@
     }
 
 private:
+    void read_answer() {
+        parser_.emplace();
+        parser_->header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
+        parser_->body_limit(limits_.body_bytes);
+        parser_->skip(without_body_);
+        http::async_read(
+            stream_, buffer_, *parser_,
+            [self = shared_from_this()](error_code ec, std::size_t n) { self->answered(ec, n); });
+    }
+
+    /// Reports whether the answer names another request than the one in progress.
+    bool is_foreign(const http_response& response) const {
+        if (expected_id_.empty()) {
+            return false;
+        }
+        const auto id = find_header(response.headers, correlation_header_);
+        return id && *id != expected_id_;
+    }
+
     void connected(error_code ec) {
         stream_.expires_never();
         if (!ec) {
@@ -199,7 +262,19 @@
             response.headers.emplace_back(std::string{field.name_string()}, std::string{field.value()});
         }
         response.body = std::move(message.body());
-        const bool keep = message.keep_alive() && !message_;
+        if (is_foreign(response) && message.keep_alive() && ++foreign_answers_ <= max_foreign_answers) {
+            read_answer();
+            return;
+        }
+        if (is_foreign(response)) {
+            failed(http::error::bad_field);
+            return;
+        }
+        if (const auto limit = announced_idle_time(header_or_empty(response.headers, "Keep-Alive"))) {
+            idle_limit_ = *limit;
+        }
+        // A connection that carried a foreign answer may carry another one.
+        const bool keep = message.keep_alive() && !message_ && foreign_answers_ == 0;
         const auto client = client_.lock();
         const auto it = std::move(exchange_);
         exchange_.reset();
@@ -240,7 +315,13 @@
     std::optional<http::request<http::string_body>> message_;
     std::optional<http::response_parser<http::string_body>> parser_;
     std::shared_ptr<exchange> exchange_;
+    http_limits limits_;
+    std::string correlation_header_;
+    std::string expected_id_;
+    unsigned foreign_answers_ = 0;
     time_point idle_since_;
+    duration idle_limit_ = duration::max();
+    bool without_body_ = false;
     bool open_ = false;
     bool watching_ = false;
 };
@@ -260,8 +341,7 @@
     while (!it.waiting.empty() && !it.idle.empty()) {
         const auto conn = it.idle.back();
         it.idle.pop_back();
-        if (!conn->is_open() || !conn->is_quiet() ||
-            clock::now() - conn->idle_since() > options.idle_timeout) {
+        if (!conn->is_open() || !conn->is_quiet() || conn->is_expired(options.idle_timeout)) {
             drop(conn);
             continue;
         }
@@ -271,7 +351,7 @@
             it.idle.push_back(conn);
             continue;
         }
-        conn->start(next, options.limits);
+        conn->start(next, options);
     }
     while (it.waiting.size() > it.connecting && it.open < it.limit &&
            it.connecting < options.connects_per_endpoint) {
--- a/src/libbaobabswitch/httpclient.h
+++ b/src/libhttp/httpclient.h
@@ -39,6 +39,14 @@
     duration idle_timeout =
         std::chrono::seconds{30}; ///< below the server's, so that it isn't the one to close
     std::string source_host;      ///< local address to connect from; empty lets the system choose
+    /// Time after which unacknowledged data ends a connection (TCP_USER_TIMEOUT); zero keeps the system's.
+    milliseconds user_timeout{0};
+    /// Idle time before TCP keep-alive probes, also between probes; two lost probes end a connection. Zero
+    /// sends none.
+    std::chrono::seconds keepalive_probe{0};
+    /// Answer header that repeats the request's value. An answer with another value belongs to an earlier
+    /// request and is passed over. Empty checks nothing.
+    std::string correlation_header;
 };
 
 /// HTTP/1.1 client with a pool of kept-alive connections per endpoint. Event loop thread only.
--- a/src/libbaobabswitch/httpserver.cpp
+++ b/src/libhttp/httpserver.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <cerrno>
 #include <optional>
 
 #include <sys/socket.h>
@@ -41,6 +42,11 @@
 constexpr milliseconds linger_time{1000};
 constexpr std::size_t discard_bytes = 16 * 1024;
 
+bool asks_to_close(const http_response& answer) {
+    const auto value = header_or_empty(answer.headers, "Connection");
+    return beast::iequals(beast::string_view{value.data(), value.size()}, "close");
+}
+
 http_read_error classify(error_code ec) {
     if (ec == http::error::header_limit) {
         return http_read_error::header_too_large;
@@ -94,7 +100,8 @@
         }
         state_ = state::writing;
         abandoned_ = nullptr;
-        write(std::move(answer), keep_alive_ && server_->keep_alive);
+        const bool close_asked = asks_to_close(answer);
+        write(std::move(answer), keep_alive_ && server_->keep_alive && !close_asked);
     }
 
 private:
@@ -168,7 +175,8 @@
         }
         char buf = 0;
         const auto n = ::recv(stream_.socket().native_handle(), &buf, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (n != 0 || state_ == state::writing) {
+        const bool reset = n < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
+        if ((n != 0 && !reset) || state_ == state::writing) {
             return; // The next request was sent early; it stays in the socket until this one is answered.
         }
         const auto fn = std::move(abandoned_);
@@ -410,6 +418,12 @@
     return impl_->connections;
 }
 
+void http_server::set_limits(const http_limits& limits, duration header_timeout, duration idle_timeout) {
+    impl_->options.limits = limits;
+    impl_->options.header_timeout = header_timeout;
+    impl_->options.idle_timeout = idle_timeout;
+}
+
 void http_server::end_keep_alive() {
     impl_->keep_alive = false;
 }
--- a/src/libbaobabswitch/httpserver.h
+++ b/src/libhttp/httpserver.h
@@ -21,7 +21,8 @@
     http_exchange(http_exchange&&) = delete;
     http_exchange& operator=(http_exchange&&) = delete;
 
-    /// Sends the answer; later calls are ignored, so that a request is answered once.
+    /// Sends the answer; later calls are ignored, so that a request is answered once. An answer with
+    /// "Connection: close" ends the connection.
     virtual void respond(http_response response) = 0;
     /// Calls the function if the client closes the connection before the answer.
     virtual void on_abandoned(std::function<void()> fn) = 0;
@@ -59,6 +60,8 @@
     /// Returns the port in use, also when the address asked for any.
     std::uint16_t port() const;
     std::size_t open_connections() const;
+    /// Replaces the bounds on what clients may send and on their idle time, for requests read from now on.
+    void set_limits(const http_limits& limits, duration header_timeout, duration idle_timeout);
     /// Ends each connection after its next answer, so that clients move elsewhere before this server stops.
     void end_keep_alive();
     /// Accepts no more connections; open ones go on.
--- /dev/null
+++ b/src/libmesh/admissionlevel.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "bootclock.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace baobabswitch {
+
+/// Admission level of one target. A request with a position (rank plus a random part) below the level is
+/// admitted at entry; the level falls while the target is busier than wanted and rises while it has room.
+struct level_control {
+    double level = 1;     ///< in [least_level, open]
+    double open = 1;      ///< level at which everything is admitted
+    double smoothed = 0;  ///< utilization
+};
+
+/// Moves the level after `elapsed` with the given utilization (calls running and waiting over usable slots).
+void update_level(level_control& it, double utilization, span_of_time elapsed);
+
+/// Level of a service as told along the answers.
+struct observed_level {
+    double level = 0;
+    moment at{};
+};
+
+/// Service time in ms that one request causes at each service, its calls included.
+using cost_map = std::map<std::string, double, std::less<>>;
+
+/// What this node learnt of the services behind its routes.
+struct admission_knowledge {
+    std::map<std::string, observed_level, std::less<>> levels; ///< by service
+    std::map<std::string, cost_map, std::less<>> costs;        ///< by route
+    double open = 1;
+};
+
+/// Takes in a level that a service's target had at that time.
+void observe_level(admission_knowledge& knowledge, std::string_view service, observed_level seen);
+/// Takes in the costs of one finished request.
+void observe_costs(admission_knowledge& knowledge, std::string_view route, const cost_map& costs);
+
+/// Result of the lookup behind an admission.
+struct entry_level {
+    double level = 0;
+    std::string service; ///< the tightest; empty if none is known
+    span_of_time age{};
+};
+
+/// Returns the level that a request of a route must be below: the lowest among the services that it causes
+/// work at. Without recent answers the level rises, so that refusing everything cannot last.
+entry_level level_for_route(const admission_knowledge& knowledge, std::string_view route, moment now);
+
+} // namespace baobabswitch
--- /dev/null
+++ b/src/libmesh/directory.cpp
@@ -0,0 +1,343 @@
+#include "directory.h"
+
+#include "localtargetwatch.h"
+
+#include <nlohmann/json.hpp>
+
+#include <set>
+
+namespace baobabswitch {
+
+namespace {
+
+using nlohmann::json;
+
+/// Longest wait of a watch. Each costs a call, and a connection that went silent is noticed by its keep-alive
+/// probes sooner.
+constexpr std::chrono::seconds watch_wait{6};
+/// Pause between a watch's answer and the next one, so that a burst of changes costs few calls.
+constexpr milliseconds watch_pause{60};
+/// Pauses after a failure grow from the first to the longest and are spread over as much again.
+constexpr milliseconds first_pause{120};
+constexpr milliseconds longest_pause{700};
+
+} // namespace
+
+std::string encode_entry(const target_entry& it) {
+    return json{{"peer", to_string(it.peer)}, {"domain", it.domain},       {"service", it.service},
+                {"instance", it.instance},    {"slots", it.slots},         {"accepting", it.accepting},
+                {"leaving", it.leaving},      {"started_ms", it.started_ms}}
+        .dump();
+}
+
+result<target_entry> decode_entry(const stored_object& stored) {
+    try {
+        const auto content = json::parse(stored.content);
+        target_entry it;
+        it.node = stored.name;
+        it.revision = stored.revision;
+        auto peer = parse_endpoint(content.at("peer").get<std::string>());
+        if (!peer) {
+            return peer.error();
+        }
+        it.peer = peer.value();
+        content.at("domain").get_to(it.domain);
+        content.at("service").get_to(it.service);
+        content.at("instance").get_to(it.instance);
+        content.at("slots").get_to(it.slots);
+        content.at("accepting").get_to(it.accepting);
+        content.at("leaving").get_to(it.leaving);
+        content.at("started_ms").get_to(it.started_ms);
+        return it;
+    } catch (const json::exception& ex) {
+        return error{error_kind::malformed, "the entry of target node " + stored.name + " is malformed: " + ex.what(),
+                     "delete the object; its node writes it anew"};
+    }
+}
+
+/// Objects of one kind that are followed.
+struct directory::collection {
+    std::string kind;
+    std::function<void(const stored_object&)> take;
+    /// Called after a whole list, with the names in it.
+    std::function<void(const std::set<std::string>&)> loaded;
+    std::uint64_t revision = 0;
+    unsigned failures = 0;
+};
+
+directory::directory(mesh_state& state, object_client& store)
+    : state_(state),
+      store_(store),
+      config_(std::make_unique<collection>()),
+      targets_(std::make_unique<collection>()) {
+    config_->kind = state.port.config_kind;
+    config_->take = [this](const stored_object& it) { take_config(it); };
+    config_->loaded = [](const std::set<std::string>&) {};
+    targets_->kind = state.port.target_kind;
+    targets_->take = [this](const stored_object& it) { take_target(it); };
+    targets_->loaded = [this](const std::set<std::string>& names) {
+        std::vector<std::string> gone;
+        for (const auto& [node, view] : state_.targets.by_node) {
+            if (!names.contains(node) && node != state_.settings.node) {
+                gone.push_back(node);
+            }
+        }
+        for (const auto& node : gone) {
+            remove_target(state_.targets, node);
+        }
+        if (!names.contains(state_.settings.node)) {
+            own_stored_.reset();
+            own_revision_ = 0;
+        }
+        state_.targets_known = true;
+        publish_own_entry([](bool) {});
+    };
+}
+
+directory::~directory() {
+    *alive_ = false;
+}
+
+void directory::start() {
+    load(*config_);
+    load(*targets_);
+}
+
+bool directory::is_connected() const {
+    return connected_;
+}
+
+void directory::note_result(bool reached, std::string_view what) {
+    state_.metrics.count_store_call(reached ? "answered" : "failed");
+    if (reached != connected_ || !connection_reported_) {
+        state_.log.write(reached ? "store-regained" : "store-lost", {{"call", what}});
+        connection_reported_ = true;
+    }
+    connected_ = reached;
+}
+
+void directory::load(collection& it) {
+    store_.list(it.kind, [this, &it, alive = alive_](result<object_list> listed) {
+        if (!*alive) {
+            return;
+        }
+        note_result(listed.has_value(), "list");
+        if (!listed) {
+            retry(it, true);
+            return;
+        }
+        it.failures = 0;
+        it.revision = listed.value().revision;
+        std::set<std::string> names;
+        for (const auto& object : listed.value().objects) {
+            names.insert(object.name);
+            it.take(object);
+        }
+        it.loaded(names);
+        follow(it);
+    });
+}
+
+void directory::follow(collection& it) {
+    store_.watch(it.kind, it.revision, watch_wait, [this, &it, alive = alive_](result<object_list> changes) {
+        if (!*alive) {
+            return;
+        }
+        const bool history_gone = !changes && changes.error().kind == error_kind::not_found;
+        note_result(changes.has_value() || history_gone, "watch");
+        if (!changes) {
+            retry(it, history_gone);
+            return;
+        }
+        it.failures = 0;
+        it.revision = std::max(it.revision, changes.value().revision);
+        for (const auto& object : changes.value().objects) {
+            it.take(object);
+        }
+        state_.loop.schedule(watch_pause, [this, &it, alive] {
+            if (*alive) {
+                follow(it);
+            }
+        });
+    });
+}
+
+void directory::retry(collection& it, bool reload) {
+    const auto base = std::min<milliseconds>(first_pause * (1U << std::min(it.failures, 4U)), longest_pause);
+    ++it.failures;
+    const auto pause = std::chrono::duration_cast<duration>(from_ms(to_ms(base) * (1 + uniform(state_))));
+    state_.loop.schedule(pause, [this, &it, reload, alive = alive_] {
+        if (!*alive) {
+            return;
+        }
+        if (reload) {
+            load(it);
+        } else {
+            follow(it);
+        }
+    });
+}
+
+void directory::take_config(const stored_object& it) {
+    if (it.name != state_.port.config_name || it.deleted) {
+        return;
+    }
+    // A rejected document is logged there; the one in force stays.
+    (void)adopt_config(state_, it.content, "store");
+}
+
+void directory::take_target(const stored_object& it) {
+    const bool own = it.name == state_.settings.node;
+    if (it.deleted) {
+        if (!own) {
+            remove_target(state_.targets, it.name);
+        } else if (it.revision >= own_revision_) {
+            own_stored_.reset();
+            own_revision_ = 0;
+            publish_own_entry([](bool) {});
+        }
+        return;
+    }
+    auto decoded = decode_entry(it);
+    if (!decoded) {
+        state_.metrics.count_event("malformed_entry");
+        state_.log.write("entry-rejected", {{"name", it.name}, {"error", describe(decoded.error())}});
+        return;
+    }
+    auto& entry = decoded.value();
+    if (own) {
+        if (it.revision >= own_revision_) {
+            own_revision_ = it.revision;
+            own_stored_ = entry;
+        }
+        if (entry.leaving) {
+            remember_left(state_, entry);
+        }
+        return;
+    }
+    if (update_target(state_.targets, entry)) {
+        state_.log.write("target-entry", {{"target_node", entry.node},
+                                          {"service", entry.service},
+                                          {"instance", entry.instance},
+                                          {"accepting", entry.accepting},
+                                          {"revision", entry.revision}});
+    }
+}
+
+void directory::fetch_config(std::function<void()> on_failed) {
+    if (config_fetch_pending_) {
+        return;
+    }
+    config_fetch_pending_ = true;
+    store_.get(state_.port.config_kind, state_.port.config_name,
+               [this, alive = alive_, on_failed = std::move(on_failed)](result<stored_object> read) {
+                   if (!*alive) {
+                       return;
+                   }
+                   config_fetch_pending_ = false;
+                   note_result(read.has_value(), "get");
+                   if (!read) {
+                       on_failed();
+                       return;
+                   }
+                   take_config(read.value());
+               });
+}
+
+void directory::publish_own_entry(std::function<void(bool)> done) {
+    writers_.push_back(std::move(done));
+    if (!writing_) {
+        write_own_entry();
+    }
+}
+
+void directory::write_own_entry() {
+    const auto wanted = own_entry(state_);
+    target_entry known = own_stored_.value_or(target_entry{});
+    known.revision = 0;
+    if (!state_.target.current || known == wanted) {
+        finish_write(known == wanted);
+        return;
+    }
+    writing_ = true;
+    // The own node is a target for its own callers too.
+    update_target(state_.targets, wanted);
+    const auto written = [this, alive = alive_](result<stored_object> it) {
+        if (*alive) {
+            on_written(std::move(it));
+        }
+    };
+    if (own_revision_ == 0) {
+        store_.create(state_.port.target_kind, wanted.node, encode_entry(wanted), written);
+        return;
+    }
+    store_.replace(state_.port.target_kind, {wanted.node, own_revision_, encode_entry(wanted), false}, written);
+}
+
+void directory::on_written(result<stored_object> written) {
+    writing_ = false;
+    const bool conflict = !written && written.error().kind == error_kind::conflict;
+    const bool gone = !written && written.error().kind == error_kind::not_found;
+    note_result(written.has_value() || conflict || gone, "write");
+    if (written) {
+        take_target(written.value());
+        write_own_entry(); // The entry may have changed meanwhile; else this ends the write.
+        return;
+    }
+    if (gone) {
+        own_stored_.reset();
+        own_revision_ = 0;
+        write_own_entry();
+        return;
+    }
+    if (conflict) {
+        // An earlier write whose answer was lost, or this node before its restart: read what is stored.
+        writing_ = true;
+        store_.get(state_.port.target_kind, state_.settings.node, [this, alive = alive_](result<stored_object> read) {
+            if (!*alive) {
+                return;
+            }
+            writing_ = false;
+            note_result(read.has_value(), "get");
+            if (!read) {
+                finish_write(false);
+                return;
+            }
+            own_revision_ = 0;
+            take_target(read.value());
+            write_own_entry();
+        });
+        return;
+    }
+    state_.log.write("own-entry-not-stored", {{"error", describe(written.error())}});
+    finish_write(false);
+    state_.loop.schedule(first_pause * 2, [this, alive = alive_] {
+        if (*alive && !writing_) {
+            write_own_entry();
+        }
+    });
+}
+
+void directory::finish_write(bool stored) {
+    const auto waiting = std::move(writers_);
+    writers_.clear();
+    for (const auto& fn : waiting) {
+        fn(stored);
+    }
+}
+
+void directory::withdraw_own_entry(std::function<void()> done) {
+    if (own_revision_ == 0) {
+        done();
+        return;
+    }
+    store_.remove(state_.port.target_kind, state_.settings.node, own_revision_,
+                  [this, alive = alive_, done = std::move(done)](result<stored_object> removed) {
+                      if (*alive) {
+                          note_result(removed.has_value(), "remove");
+                      }
+                      done();
+                  });
+}
+
+} // namespace baobabswitch
--- /dev/null
+++ b/src/libmesh/localruns.cpp
@@ -0,0 +1,266 @@
+#include "localruns.h"
+
+#include "forwardedheaders.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+
+namespace baobabswitch {
+
+namespace {
+
+using nlohmann::json;
+
+/// Time that an exchange with the target may outlast the call's own, so that the target's late answer is seen.
+constexpr milliseconds answer_slack{50};
+/// The same for a call that may not be repeated: its outcome still frees the slot.
+constexpr milliseconds unrepeatable_slack{1000};
+
+load_report current_load(const mesh_state& state) {
+    return {static_cast<double>(state.gate.running), static_cast<double>(state.gate.waiting.size()),
+            static_cast<double>(usable_slots(state.gate)), state.gate.slowness};
+}
+
+void fill_in(mesh_state& state, hop_result& it, moment now) {
+    it.load = current_load(state);
+    it.accepting = accepts_calls(state);
+    it.config_version = config_version(state);
+    it.levels[state.settings.service] = {state.level.level, now};
+    for (const auto& [service, ms] : it.costs) {
+        const auto found = state.knowledge.levels.find(service);
+        if (service != state.settings.service && found != state.knowledge.levels.end()) {
+            it.levels[service] = found->second;
+        }
+    }
+}
+
+void log_not_run(mesh_state& state, const local_run& run, std::string_view reason) {
+    if (!state.log.wants("run-refused")) {
+        return;
+    }
+    state.log.write_always("run-refused", {{"request", run.request_id},
+                                           {"route", run.info.route},
+                                           {"reason", reason},
+                                           {"running", state.gate.running},
+                                           {"waiting", state.gate.waiting.size()},
+                                           {"slots", state.gate.slots},
+                                           {"left_ms", to_ms(run.info.left)},
+                                           {"nested", run.info.nested},
+                                           {"config_version", config_version(state)}});
+}
+
+/// Ends a run: takes it out of the tables, tells the caller and hands free slots on.
+void finish_run(mesh_state& state, run_id id, hop_result it) {
+    const auto found = state.runs.find(id);
+    if (found == state.runs.end()) {
+        return;
+    }
+    const auto run = std::move(found->second);
+    state.runs.erase(found);
+    const auto now = boot_clock::now();
+    if (run.exchange) {
+        const auto index = state.runs_by_request.find(run.request_id);
+        if (index != state.runs_by_request.end() && index->second == id) {
+            state.runs_by_request.erase(index);
+        }
+        const bool complete = it.outcome == hop_outcome::answered;
+        release_slot(state.gate, run.info.route,
+                     complete ? std::optional{now - run.handed_over} : std::nullopt);
+        it.reached_target = it.outcome != hop_outcome::not_run || it.reached_target;
+        if (complete) {
+            it.costs = run.costs;
+            it.costs[state.settings.service] += to_ms(now - run.handed_over);
+        }
+    }
+    const auto handed_over = run.exchange ? run.handed_over : now;
+    state.metrics.count_run(it.outcome == hop_outcome::answered  ? "answered"
+                            : it.outcome == hop_outcome::not_run ? "not_run"
+                                                                 : "unknown",
+                            it.reason, to_ms(handed_over - run.arrived) / 1000, to_ms(now - handed_over) / 1000);
+    if (it.outcome == hop_outcome::not_run) {
+        log_not_run(state, run, it.reason);
+    }
+    fill_in(state, it, now);
+    run.done(std::move(it));
+}
+
+void refuse_run(mesh_state& state, run_id id, std::string_view reason) {
+    hop_result it;
+    it.outcome = hop_outcome::not_run;
+    it.reason = reason;
+    finish_run(state, id, std::move(it));
+}
+
+std::string_view failure_reason(const http_failure& failure) {
+    if (failure.kind == http_failure_kind::cancelled) {
+        return "caller-gone";
+    }
+    if (!failure.sent) {
+        return failure.kind == http_failure_kind::timeout ? "expired" : "target-unreachable";
+    }
+    return failure.kind == http_failure_kind::timeout ? "target-silent" : "target-cut";
+}
+
+hop_result read_answer(const mesh_state& state, http_result answer) {
+    hop_result it;
+    if (const auto* failure = std::get_if<http_failure>(&answer)) {
+        it.outcome = failure->sent ? hop_outcome::unknown : hop_outcome::not_run;
+        it.reason = failure_reason(*failure);
+        return it;
+    }
+    auto& response = std::get<http_response>(answer);
+    const auto& headers = state.port.headers;
+    if (find_header(response.headers, headers.not_executed) || response.status == 421) {
+        it.outcome = hop_outcome::not_run;
+        it.reason = response.status == 421 ? "target-replaced" : "target-full";
+        it.reached_target = true;
+        return it;
+    }
+    const bool success = response.status >= 200 && response.status < 300;
+    if (success && !find_header(response.headers, headers.signature)) {
+        it.reason = "target-garbage";
+        return it;
+    }
+    it.outcome = hop_outcome::answered;
+    response.headers = forwarded_response_headers(response.headers);
+    it.response = std::move(response);
+    return it;
+}
+
+void serve_queue(mesh_state& state);
+
+void on_target_answer(mesh_state& state, run_id id, http_result answer) {
+    const auto found = state.runs.find(id);
+    if (found == state.runs.end()) {
+        return;
+    }
+    auto it = read_answer(state, std::move(answer));
+    if (it.outcome == hop_outcome::unknown && state.log.wants("run-unknown")) {
+        state.log.write_always("run-unknown", {{"request", found->second.request_id},
+                                               {"route", found->second.info.route},
+                                               {"reason", it.reason},
+                                               {"after_ms", to_ms(boot_clock::now() - found->second.handed_over)}});
+    }
+    if (it.reason == "target-unreachable" && state.target.reachable) {
+        state.target.reachable = false;
+        state.log.write_always("target-lost", {{"address", to_string(state.settings.target)}});
+    }
+    finish_run(state, id, std::move(it));
+    serve_queue(state);
+}
+
+/// Hands a call that holds a slot to the target, if its time is not over: it may have waited while the VM was
+/// suspended.
+void hand_over(mesh_state& state, run_id id) {
+    auto& run = state.runs.at(id);
+    const auto now = boot_clock::now();
+    const auto left = run.due - now;
+    const bool right_target = accepts_calls(state) && state.target.current->service == run.info.service;
+    if (left <= span_of_time::zero() || !right_target) {
+        release_slot(state.gate, run.info.route, std::nullopt);
+        refuse_run(state, id, right_target ? "expired" : "target-leaving");
+        return;
+    }
+    const auto& names = state.port.headers;
+    run.handed_over = now;
+    auto request = std::move(run.request);
+    request.headers.emplace_back(names.time_left_ms, std::to_string(static_cast<std::int64_t>(to_ms(left))));
+    request.headers.emplace_back(names.target_instance, state.target.current->instance);
+    request.headers.emplace_back(names.caller_service, run.info.caller_service);
+    const duration limit = left + (run.info.idempotent ? answer_slack : unrepeatable_slack);
+    state.runs_by_request[run.request_id] = id;
+    run.exchange = state.target_client->send(
+        state.settings.target, std::move(request), limit,
+        [&state, id](http_result answer) { on_target_answer(state, id, std::move(answer)); });
+}
+
+void serve_queue(mesh_state& state) {
+    const auto now = boot_clock::now();
+    for (const auto id : expire_waiting(state.gate, now)) {
+        refuse_run(state, id, "queue-timeout");
+    }
+    for (const auto id : start_waiting(state.gate, now)) {
+        hand_over(state, id);
+    }
+}
+
+/// Returns why a call can't run here, or an empty text.
+std::string_view obstacle(const mesh_state& state, const hop_info& info) {
+    if (state.stopping) {
+        return "node-stopping";
+    }
+    if (!state.target.current || !state.target.verified) {
+        return "target-unknown";
+    }
+    if (state.target.leaving) {
+        return "target-leaving";
+    }
+    if (!state.target.reachable) {
+        return "target-unreachable";
+    }
+    return state.target.current->service == info.service ? "" : "other-service";
+}
+
+} // namespace
+
+run_id start_local_run(mesh_state& state, hop_info info, http_request request,
+                       std::function<void(hop_result)> done) {
+    const auto id = ++state.last_run;
+    const auto now = boot_clock::now();
+    auto& run = state.runs[id];
+    run.id = id;
+    run.request_id = header_or_empty(request.headers, state.port.headers.request_id);
+    run.request = std::move(request);
+    run.done = std::move(done);
+    run.arrived = now;
+    run.due = now + info.left;
+    run.info = std::move(info);
+    if (const auto reason = obstacle(state, run.info); !reason.empty()) {
+        refuse_run(state, id, reason);
+        return id;
+    }
+    const slot_request wanted{id,           run.info.route, run.info.nested, run.info.position,
+                              run.info.left, run.info.objective};
+    switch (request_slot(state.gate, wanted, now)) {
+    case slot_decision::start:
+        hand_over(state, id);
+        break;
+    case slot_decision::wait:
+        break;
+    case slot_decision::refuse:
+        refuse_run(state, id, "no-slot");
+        break;
+    }
+    return id;
+}
+
+void cancel_local_run(mesh_state& state, run_id id) {
+    const auto found = state.runs.find(id);
+    if (found == state.runs.end()) {
+        return;
+    }
+    if (!found->second.exchange) {
+        remove_waiting(state.gate, id);
+        refuse_run(state, id, "caller-gone");
+        return;
+    }
+    if (found->second.info.idempotent) {
+        state.target_client->cancel(*found->second.exchange);
+    }
+}
+
+void refuse_queued_runs(mesh_state& state, std::string_view reason) {
+    auto waiting = std::move(state.gate.waiting);
+    state.gate.waiting.clear();
+    for (const auto& it : waiting) {
+        refuse_run(state, it.request.id, reason);
+    }
+}
+
+void tick_local_runs(mesh_state& state, span_of_time elapsed) {
+    serve_queue(state);
+    update_level(state.level, utilization(state.gate), elapsed);
+}
+
+} // namespace baobabswitch
--- /dev/null
+++ b/src/libmesh/meshnode.cpp
@@ -0,0 +1,275 @@
+#include "meshnode.h"
+
+#include "localruns.h"
+#include "localtargetwatch.h"
+#include "outboundcalls.h"
+#include "peerstate.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace baobabswitch {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds tick_interval{50};
+constexpr unsigned ticks_per_second = 20;
+/// Longest time that the answer to a leaving target waits for the store: targets expect it within 1 s.
+constexpr milliseconds acknowledgement_wait{500};
+/// Least time from SIGTERM to the end: callers ask for readiness once a second and leave after two misses.
+constexpr milliseconds least_stop_time{2600};
+/// Time before SIGKILL at which the node ends in any case.
+constexpr milliseconds stop_margin{300};
+/// Time for the last answers to leave the process.
+constexpr milliseconds flush_time{50};
+/// Part of a target's connections that the node beside it uses at most; health checks use others.
+constexpr std::size_t spare_connections = 8;
+
+http_server_options server_options(const mesh_settings& settings) {
+    http_server_options it;
+    it.limits.header_bytes = 64 * 1024;
+    it.limits.body_bytes = 64 * 1024 * 1024;
+    it.limits.header_count = 128;
+    it.on_read_error = [](http_read_error cause) {
+        const unsigned status = cause == http_read_error::header_too_large ? 431
+                                : cause == http_read_error::body_too_large ? 413
+                                : cause == http_read_error::timeout        ? 408
+                                                                           : 400;
+        return json_response(status, R"({"error":"malformed"})");
+    };
+    (void)settings;
+    return it;
+}
+
+void respond_hop(mesh_state& state, http_exchange& exchange, hop_result it) {
+    const auto text = encode_hop_result(it, boot_clock::now());
+    auto response = std::move(it.response);
+    if (it.outcome != hop_outcome::answered) {
+        response = json_response(503, "{}");
+    }
+    response.headers.emplace_back(std::string{hop_header}, text);
+    (void)state;
+    exchange.respond(std::move(response));
+}
+
+} // namespace
+
+result<std::unique_ptr<mesh_node>> mesh_node::create(event_loop& loop, mesh_settings settings, platform_port port,
+                                                     std::unique_ptr<object_client> store) {
+    auto it = std::make_unique<mesh_node>(loop, std::move(settings), std::move(port), std::move(store));
+    if (const auto listening = it->listen(); !listening) {
+        return listening.error();
+    }
+    it->directory_.start();
+    it->last_tick_ = boot_clock::now();
+    loop.schedule_every(tick_interval, [node = it.get()] { node->tick(); });
+    it->state_.log.write_always("started", {{"service", it->state_.settings.service},
+                                            {"domain", it->state_.settings.domain},
+                                            {"first_start", it->state_.settings.first_start}});
+    return it;
+}
+
+mesh_node::mesh_node(event_loop& loop, mesh_settings settings, platform_port port,
+                     std::unique_ptr<object_client> store)
+    : loop_(loop),
+      state_(loop, std::move(settings), std::move(port)),
+      store_(std::move(store)),
+      directory_(state_, *store_) {
+    state_.on_newer_config = [this](std::uint64_t, const endpoint& peer) {
+        directory_.fetch_config([this, peer] { pull_peer_state(state_, peer); });
+    };
+    state_.on_uninformed_peer = [this](const endpoint& peer) { push_peer_state(state_, peer); };
+}
+
+mesh_node::~mesh_node() = default;
+
+mesh_state& mesh_node::state() {
+    return state_;
+}
+
+result<void> mesh_node::add_server(const endpoint& address, http_server_options options,
+                                   http_server::handler handler) {
+    auto it = http_server::listen(loop_, address, std::move(options), std::move(handler));
+    if (!it) {
+        return it.error();
+    }
+    servers_.push_back(std::move(it.value()));
+    return success();
+}
+
+result<void> mesh_node::listen() {
+    const auto& addresses = state_.settings.listen;
+    const auto options = server_options(state_.settings);
+    BOOST_OUTCOME_TRYV(add_server(addresses.outbound, options, [this](http_request request, const std::shared_ptr<http_exchange>& exchange) {
+                      handle_outbound(state_, std::move(request), exchange);
+                  }));
+    outbound_ = servers_.back().get();
+    BOOST_OUTCOME_TRYV(add_server(addresses.inbound, options, [this](http_request request, const std::shared_ptr<http_exchange>& exchange) {
+                      handle_inbound(std::move(request), exchange);
+                  }));
+    BOOST_OUTCOME_TRYV(add_server(addresses.control, options, [this](const http_request& request, const std::shared_ptr<http_exchange>& exchange) {
+                      handle_announcement(request, exchange);
+                  }));
+    BOOST_OUTCOME_TRYV(add_server(addresses.ready, options, [this](const http_request& request, const std::shared_ptr<http_exchange>& exchange) {
+                      handle_ready(request, *exchange);
+                  }));
+    return add_server(addresses.metrics, options,
+                      [this](const http_request&, const std::shared_ptr<http_exchange>& exchange) {
+                          exchange->respond({200, {{"Content-Type", "text/plain"}}, state_.metrics.render()});
+                      });
+}
+
+void mesh_node::handle_inbound(http_request request, const std::shared_ptr<http_exchange>& exchange) {
+    if (path_of(request.target) == peer_state_path && !find_header(request.headers, hop_header)) {
+        handle_peer_state(state_, request, *exchange);
+        return;
+    }
+    const auto text = find_header(request.headers, hop_header);
+    auto info = decode_hop_info(text.value_or(std::string_view{}));
+    if (!info) {
+        state_.metrics.count_event("malformed_hop");
+        state_.log.write("hop-rejected", {{"error", describe(info.error())}, {"from", exchange->remote_host()}});
+        exchange->respond(json_response(400, R"({"error":"malformed"})"));
+        return;
+    }
+    std::erase_if(request.headers, [](const auto& field) { return field.first == hop_header; });
+    const auto ended = std::make_shared<bool>(false);
+    const auto id = start_local_run(state_, std::move(info.value()), std::move(request),
+                                    [this, exchange, ended](hop_result it) {
+                                        *ended = true;
+                                        respond_hop(state_, *exchange, std::move(it));
+                                    });
+    if (!*ended) {
+        exchange->on_abandoned([this, id] { cancel_local_run(state_, id); });
+    }
+}
+
+void mesh_node::handle_announcement(const http_request& request, const std::shared_ptr<http_exchange>& exchange) {
+    auto decoded = state_.port.decode_announcement(request);
+    if (!decoded) {
+        state_.metrics.count_event("malformed_announcement");
+        state_.log.write("announcement-rejected", {{"error", describe(decoded.error())}});
+        exchange->respond(json_response(400, R"({"error":"malformed"})"));
+        return;
+    }
+    const auto& it = decoded.value();
+    if (!it.withdrawn && (it.address != state_.settings.target || it.service != state_.settings.service)) {
+        state_.metrics.count_event("foreign_announcement");
+        state_.log.write("announcement-foreign", {{"instance", it.instance}, {"service", it.service}});
+        exchange->respond(json_response(400, R"({"error":"not the target of this node"})"));
+        return;
+    }
+    const auto effect = take_announcement(state_, it);
+    if (effect == announcement_effect::none) {
+        exchange->respond(json_response(200, "{}"));
+        return;
+    }
+    if (effect != announcement_effect::left) {
+        directory_.publish_own_entry([](bool) {});
+        exchange->respond(json_response(200, "{}"));
+        return;
+    }
+    // A later start of this node must know that the target left, so the store is told first.
+    directory_.publish_own_entry([exchange](bool) { exchange->respond(json_response(200, "{}")); });
+    loop_.schedule(acknowledgement_wait, [exchange] { exchange->respond(json_response(200, "{}")); });
+}
+
+void mesh_node::handle_ready(const http_request& request, http_exchange& exchange) {
+    if (path_of(request.target) != state_.port.ready_path) {
+        exchange.respond(json_response(404, "{}"));
+        return;
+    }
+    const bool ready = state_.config && state_.targets_known && !state_.stopping;
+    exchange.respond(json_response(ready ? 200 : 503, ready ? "{}" : R"({"error":"not ready"})"));
+}
+
+void mesh_node::apply_limits() {
+    const auto version = config_version(state_);
+    if (version == limits_version_) {
+        return;
+    }
+    limits_version_ = version;
+    const auto& limits = state_.config->config.limits;
+    http_limits it;
+    it.header_bytes = limits.header_bytes;
+    it.body_bytes = limits.body_bytes;
+    it.header_count = 128;
+    outbound_->set_limits(it, limits.header_timeout, limits.idle_timeout);
+    for (const auto& service : state_.config->config.services) {
+        if (service.name == state_.settings.service && service.max_connections > spare_connections) {
+            state_.target_client->limit_connections(state_.settings.target,
+                                                    service.max_connections - spare_connections);
+        }
+    }
+}
+
+void mesh_node::update_gauges() {
+    auto& it = state_.metrics;
+    it.set_gauge("running", state_.gate.running);
+    it.set_gauge("waiting", static_cast<double>(state_.gate.waiting.size()));
+    it.set_gauge("admission_level", state_.level.level);
+    it.set_gauge("slowness", state_.gate.slowness);
+    it.set_gauge("config_version", static_cast<double>(config_version(state_)));
+    it.set_gauge("targets", static_cast<double>(state_.targets.by_node.size()));
+    it.set_gauge("calls_in_flight", static_cast<double>(state_.calls.size()));
+    it.set_gauge("store_connected", directory_.is_connected() ? 1 : 0);
+}
+
+void mesh_node::tick() {
+    const auto now = boot_clock::now();
+    tick_local_runs(state_, now - last_tick_);
+    last_tick_ = now;
+    expire_outbound(state_);
+    tick_verification(state_, [this] { directory_.publish_own_entry([](bool) {}); });
+    apply_limits();
+    state_.budget.nodes = static_cast<double>(std::max<std::size_t>(1, state_.targets.by_node.size()));
+    if (++ticks_ % ticks_per_second == 0) {
+        state_.log.report_suppressed();
+        update_gauges();
+    }
+}
+
+void mesh_node::reload(const mesh_settings& changed) {
+    state_.settings.retries = changed.retries;
+    state_.budget.bounds = changed.retries;
+    state_.settings.drain_time = changed.drain_time;
+    state_.settings.stop_time = changed.stop_time;
+    state_.log.write_always("settings-reloaded", {{"retry_ratio", changed.retries.ratio},
+                                                  {"retry_slack", changed.retries.slack},
+                                                  {"stop_time_ms", to_ms(changed.stop_time)}});
+}
+
+void mesh_node::stop() {
+    if (state_.stopping) {
+        return;
+    }
+    state_.stopping = true;
+    stop_started_ = boot_clock::now();
+    state_.log.write_always("stopping", {{"calls", state_.calls.size()}, {"runs", state_.runs.size()}});
+    refuse_queued_runs(state_, "node-stopping");
+    if (state_.target.leaving) {
+        directory_.withdraw_own_entry([] {});
+    } else {
+        directory_.publish_own_entry([](bool) {});
+    }
+    stop_when_idle();
+}
+
+void mesh_node::stop_when_idle() {
+    const auto elapsed = boot_clock::now() - stop_started_;
+    const bool idle = state_.calls.empty() && state_.runs.empty() && elapsed >= least_stop_time;
+    if (idle || elapsed >= state_.settings.stop_time - stop_margin) {
+        state_.log.write_always("stopped", {{"calls", state_.calls.size()}, {"runs", state_.runs.size()}});
+        for (const auto& it : servers_) {
+            it->stop_accepting();
+        }
+        loop_.schedule(flush_time, [this] { loop_.stop(); });
+        return;
+    }
+    loop_.schedule(tick_interval, [this] { stop_when_idle(); });
+}
+
+} // namespace baobabswitch
--- /dev/null
+++ b/src/libmesh/meshnode.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "directory.h"
+#include "meshstate.h"
+#include "objectclient.h"
+
+#include <memory>
+#include <vector>
+
+namespace baobabswitch {
+
+/// One node of the mesh: takes the requests that begin on its VM to targets, and guards the target beside it.
+class mesh_node {
+public:
+    /// Starts to listen and to follow the store. Fails with bad_settings when an address can't be bound.
+    static result<std::unique_ptr<mesh_node>> create(event_loop& loop, mesh_settings settings, platform_port port,
+                                                     std::unique_ptr<object_client> store);
+
+    mesh_node(event_loop& loop, mesh_settings settings, platform_port port, std::unique_ptr<object_client> store);
+    ~mesh_node();
+    mesh_node(const mesh_node&) = delete;
+    mesh_node& operator=(const mesh_node&) = delete;
+    mesh_node(mesh_node&&) = delete;
+    mesh_node& operator=(mesh_node&&) = delete;
+
+    mesh_state& state();
+    /// Takes in changed settings. Addresses stay as they are until a restart.
+    void reload(const mesh_settings& changed);
+    /// Takes no new calls, lets those in flight end and then stops the event loop.
+    void stop();
+
+private:
+    result<void> listen();
+    result<void> add_server(const endpoint& address, http_server_options options, http_server::handler handler);
+    void handle_inbound(http_request request, const std::shared_ptr<http_exchange>& exchange);
+    void handle_announcement(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
+    void handle_ready(const http_request& request, http_exchange& exchange);
+    void tick();
+    void apply_limits();
+    void update_gauges();
+    void stop_when_idle();
+
+    event_loop& loop_;
+    mesh_state state_;
+    std::unique_ptr<object_client> store_;
+    directory directory_;
+    std::vector<std::unique_ptr<http_server>> servers_;
+    http_server* outbound_ = nullptr;
+    std::uint64_t limits_version_ = 0;
+    moment last_tick_{};
+    moment stop_started_{};
+    unsigned ticks_ = 0;
+};
+
+} // namespace baobabswitch
--- /dev/null
+++ b/src/libmesh/meshstate.cpp
@@ -0,0 +1,92 @@
+#include "meshstate.h"
+
+#include <nlohmann/json.hpp>
+
+namespace baobabswitch {
+
+namespace {
+
+http_client_options peer_options(const mesh_settings& settings, const platform_port& port) {
+    http_client_options it;
+    it.limits.header_bytes = 64 * 1024;
+    it.limits.body_bytes = 64 * 1024 * 1024;
+    it.connections_per_endpoint = 256;
+    it.connects_per_endpoint = 8;
+    it.connect_timeout = milliseconds{400};
+    it.idle_timeout = std::chrono::seconds{20};
+    it.source_host = settings.listen.inbound.host;
+    // Round trips between failure domains take some 2 ms; 800 ms covers two lost packets in a row.
+    it.user_timeout = milliseconds{800};
+    it.keepalive_probe = std::chrono::seconds{1};
+    it.correlation_header = port.headers.request_id;
+    return it;
+}
+
+http_client_options target_options(const mesh_settings& settings, const platform_port& port) {
+    auto it = peer_options(settings, port);
+    it.connect_timeout = milliseconds{300};
+    // Below the idle timeout of targets, which close after 10 s unless they announce another time.
+    it.idle_timeout = std::chrono::seconds{7};
+    return it;
+}
+
+} // namespace
+
+mesh_state::mesh_state(event_loop& l, mesh_settings s, platform_port p)
+    : loop(l),
+      settings(std::move(s)),
+      port(std::move(p)),
+      log(settings.node),
+      random(std::random_device{}()),
+      peer_client(std::make_unique<http_client>(l, peer_options(settings, port))),
+      target_client(std::make_unique<http_client>(l, target_options(settings, port))) {
+    budget.bounds = settings.retries;
+}
+
+double uniform(mesh_state& state) {
+    return std::uniform_real_distribution<double>{0, 1}(state.random);
+}
+
+std::uint64_t config_version(const mesh_state& state) {
+    return state.config ? state.config->config.version : 0;
+}
+
+result<bool> adopt_config(mesh_state& state, std::string document, std::string_view source) {
+    auto decoded = state.port.decode_config(document);
+    if (!decoded) {
+        state.metrics.count_event("malformed_config");
+        state.log.write("config-rejected", {{"source", source}, {"error", describe(decoded.error())}});
+        return decoded.error();
+    }
+    const auto previous = config_version(state);
+    if (decoded.value().version <= previous) {
+        return false;
+    }
+    auto it = std::make_shared<active_config>();
+    it->config = std::move(decoded.value());
+    it->table = route_table{it->config};
+    it->document = std::move(document);
+    state.config = it;
+    const double open = open_level(it->config);
+    if (state.level.level >= state.level.open) {
+        state.level.level = open;
+    }
+    state.level.open = open;
+    state.knowledge.open = open;
+    state.log.write("config-adopted", {{"version", it->config.version},
+                                       {"previous", previous},
+                                       {"source", source},
+                                       {"routes", it->config.routes.size()}});
+    return true;
+}
+
+bool accepts_calls(const mesh_state& state) {
+    const auto& it = state.target;
+    return it.current && it.verified && it.reachable && !it.leaving && !state.stopping;
+}
+
+std::string incarnation_name(const target_announcement& it) {
+    return it.instance + '/' + std::to_string(it.started_ms);
+}
+
+} // namespace baobabswitch
--- /dev/null
+++ b/src/libmesh/objectclient.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "bootclock.h"
+#include "errors.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace baobabswitch {
+
+/// An object of the platform's store, or the news that it was deleted.
+struct stored_object {
+    std::string name;
+    std::uint64_t revision = 0; ///< of its last change
+    std::string content;        ///< JSON text
+    bool deleted = false;
+};
+
+/// Objects of one kind as of a revision of the store.
+struct object_list {
+    std::vector<stored_object> objects;
+    std::uint64_t revision = 0;
+};
+
+/// Asynchronous client of the platform's store. Each callback is called exactly once, on the event loop.
+/// Errors: store_unavailable (nothing known of the outcome, or refused), conflict (the object has another
+/// revision, or exists), not_found (the object, or the history asked for, is gone).
+class object_client {
+public:
+    using list_callback = std::function<void(result<object_list>)>;
+    using object_callback = std::function<void(result<stored_object>)>;
+
+    object_client() = default;
+    virtual ~object_client() = default;
+    object_client(const object_client&) = delete;
+    object_client& operator=(const object_client&) = delete;
+    object_client(object_client&&) = delete;
+    object_client& operator=(object_client&&) = delete;
+
+    virtual void list(std::string_view kind, list_callback fn) = 0;
+    /// Reports changes after a revision as soon as there are any, or an empty list after `wait`.
+    virtual void watch(std::string_view kind, std::uint64_t after, span_of_time wait, list_callback fn) = 0;
+    virtual void get(std::string_view kind, std::string_view name, object_callback fn) = 0;
+    virtual void create(std::string_view kind, std::string_view name, std::string content,
+                        object_callback fn) = 0;
+    virtual void replace(std::string_view kind, const stored_object& it, object_callback fn) = 0;
+    virtual void remove(std::string_view kind, std::string_view name, std::uint64_t revision,
+                        object_callback fn) = 0;
+};
+
+} // namespace baobabswitch
--- /dev/null
+++ b/src/libmesh/outboundcalls.cpp
@@ -0,0 +1,445 @@
+#include "outboundcalls.h"
+
+#include "forwardedheaders.h"
+#include "localruns.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace baobabswitch {
+
+namespace {
+
+using nlohmann::json;
+
+/// Deadline assumed for a request that names none.
+constexpr std::chrono::seconds default_deadline{30};
+/// Targets that may refuse a call before the caller is told.
+constexpr std::size_t max_refusals = 3;
+/// Part of the time left after which a refused caller should come back at the latest.
+constexpr double latest_return = 0.33;
+/// Bounds of the return of a refused caller, as parts of the latency objective.
+constexpr double first_return = 0.15;
+constexpr double return_spread = 0.35;
+/// A request with less than this part of its route's usual deadline was refused before and came back.
+constexpr double returning_part = 0.97;
+/// Part of the random position of a request that came back; it goes before fresh ones of its rank.
+constexpr double returning_position = 0.5;
+/// Time that the hop of a call may outlast it; one that may not be repeated is let finish.
+constexpr milliseconds hop_slack{100};
+constexpr milliseconds unrepeatable_slack{1500};
+
+constexpr std::string_view reason_hop_cut = "hop-cut";
+constexpr std::string_view reason_unreachable = "node-unreachable";
+
+const route& route_of(const outbound_call& call) {
+    return call.config->config.routes[call.route_index];
+}
+
+std::string route_name(const outbound_call& call) {
+    return call.config ? route_of(call).name : std::string{};
+}
+
+/// Time after which a refused caller should come back, in seconds.
+std::string retry_after(mesh_state& state, const outbound_call& call, moment now) {
+    const double objective = call.config ? to_ms(route_of(call).latency_objective) : 1000;
+    const double wanted = objective * (first_return + return_spread * uniform(state));
+    const double latest = std::max(0.0, to_ms(call.due - now)) * latest_return;
+    char buf[32];
+    (void)std::snprintf(buf, sizeof buf, "%.3f", std::min(wanted, latest) / 1000);
+    return buf;
+}
+
+void end_call(mesh_state& state, outbound_id id) {
+    const auto found = state.calls.find(id);
+    found->second.timer.cancel();
+    state.calls.erase(found);
+}
+
+/// Sends an answer to the caller; the call stays in the table while its hop goes on.
+void answer(mesh_state& state, outbound_call& call, http_response response, std::string_view reason) {
+    if (call.answered) {
+        return;
+    }
+    call.answered = true;
+    call.timer.cancel();
+    const auto seconds = to_ms(boot_clock::now() - call.arrived) / 1000;
+    state.metrics.count_request(route_name(call), response.status, reason, seconds);
+    if (state.stopping) {
+        response.headers.emplace_back("Connection", "close");
+    }
+    call.exchange->respond(std::move(response));
+}
+
+/// Answers with a status of this node's own.
+void answer_own(mesh_state& state, outbound_call& call, unsigned status, std::string_view reason) {
+    if (call.answered) {
+        return;
+    }
+    const auto now = boot_clock::now();
+    http_response response = json_response(status, json{{"error", reason}}.dump());
+    response.headers.emplace_back(state.port.headers.request_id, call.request_id);
+    if (status == 503) {
+        response.headers.emplace_back("Retry-After", retry_after(state, call, now));
+    }
+    if (state.log.wants("request-failed")) {
+        state.log.write_always("request-failed", {{"request", call.request_id},
+                                                  {"route", route_name(call)},
+                                                  {"service", call.service},
+                                                  {"status", status},
+                                                  {"reason", reason},
+                                                  {"after_ms", to_ms(now - call.arrived)},
+                                                  {"left_ms", to_ms(call.due - now)},
+                                                  {"nested", call.nested},
+                                                  {"tried", call.tried},
+                                                  {"targets_reached", call.targets_reached},
+                                                  {"config_version", call.config ? call.config->config.version : 0}});
+    }
+    answer(state, call, std::move(response), reason);
+}
+
+void attempt(mesh_state& state, outbound_id id);
+
+/// Learns from what the node beside a target told.
+void learn(mesh_state& state, const outbound_call& call, const hop_result& it, moment now) {
+    for (const auto& [service, level] : it.levels) {
+        observe_level(state.knowledge, service, level);
+    }
+    if (it.outcome == hop_outcome::answered) {
+        observe_costs(state.knowledge, route_name(call), it.costs);
+        if (call.parent) {
+            const auto parent = state.runs.find(*call.parent);
+            if (parent != state.runs.end()) {
+                for (const auto& [service, ms] : it.costs) {
+                    parent->second.costs[service] += ms;
+                }
+            }
+        }
+    }
+    const auto target = state.targets.by_node.find(call.hop_node);
+    if (target == state.targets.by_node.end()) {
+        return;
+    }
+    auto& view = target->second;
+    view.in_flight -= view.in_flight > 0 ? 1 : 0;
+    if (it.load.capacity > 0) {
+        record_report(view, it.load, now);
+    }
+    if (it.outcome == hop_outcome::answered) {
+        record_available(view);
+    } else if (!it.accepting || it.reason == reason_hop_cut || it.reason == reason_unreachable) {
+        record_unavailable(view, now);
+    }
+    if (call.hop_node != state.settings.node && it.load.capacity > 0) {
+        if (it.config_version > config_version(state) && state.on_newer_config) {
+            state.on_newer_config(it.config_version, view.entry.peer);
+        } else if (it.config_version == 0 && state.on_uninformed_peer) {
+            state.on_uninformed_peer(view.entry.peer);
+        }
+    }
+}
+
+/// Decides after an attempt without an answer: another target, or the final answer.
+void on_attempt_failed(mesh_state& state, outbound_id id, const hop_result& it) {
+    auto& call = state.calls.at(id);
+    const auto now = boot_clock::now();
+    const auto& rule = route_of(call);
+    if (call.answered) {
+        end_call(state, id);
+        return;
+    }
+    const bool certain = it.outcome == hop_outcome::not_run;
+    const bool repeatable = rule.repeat == repeatability::idempotent;
+    const bool may_run_again = certain || repeatable;
+    const bool targets_left = call.targets_reached < rule.max_targets;
+    const bool time_left = call.due > now;
+    // Only calls that reached a target draw on the budget; a refusal beside it costs the service nothing.
+    const bool costs_budget = call.targets_reached > 0;
+    const bool budget_left = !costs_budget || may_repeat(state.budget, call.service, now);
+    if (may_run_again && targets_left && time_left && call.tried.size() <= max_refusals && budget_left) {
+        attempt(state, id);
+        return;
+    }
+    if (may_run_again && targets_left && time_left && !budget_left) {
+        state.metrics.count_event("retry_denied");
+    }
+    answer_own(state, call, call.may_have_run ? 502 : 503, it.reason);
+    end_call(state, id);
+}
+
+void on_hop_result(mesh_state& state, outbound_id id, hop_result it) {
+    const auto found = state.calls.find(id);
+    if (found == state.calls.end()) {
+        return;
+    }
+    auto& call = found->second;
+    call.hop_exchange.reset();
+    call.hop_run.reset();
+    learn(state, call, it, boot_clock::now());
+    if (it.outcome == hop_outcome::unknown || (it.reached_target && it.outcome == hop_outcome::not_run)) {
+        ++call.targets_reached;
+    }
+    call.may_have_run = call.may_have_run || it.outcome == hop_outcome::unknown;
+    if (it.outcome != hop_outcome::answered) {
+        on_attempt_failed(state, id, it);
+        return;
+    }
+    answer(state, call, std::move(it.response), "");
+    end_call(state, id);
+}
+
+hop_result read_hop_answer(http_result answer, moment now) {
+    hop_result it;
+    if (const auto* failure = std::get_if<http_failure>(&answer)) {
+        it.outcome = failure->sent ? hop_outcome::unknown : hop_outcome::not_run;
+        it.reason = failure->kind == http_failure_kind::cancelled ? "caller-gone"
+                    : failure->sent                               ? reason_hop_cut
+                                                                  : reason_unreachable;
+        return it;
+    }
+    auto& response = std::get<http_response>(answer);
+    const auto text = find_header(response.headers, hop_header);
+    if (!text) {
+        it.reason = "hop-garbage";
+        return it;
+    }
+    auto decoded = decode_hop_result(*text, now);
+    if (!decoded) {
+        it.reason = "hop-garbage";
+        return it;
+    }
+    it = std::move(decoded.value());
+    response.headers = forwarded_response_headers(response.headers);
+    it.response = std::move(response);
+    return it;
+}
+
+hop_info hop_info_of(const mesh_state& state, const outbound_call& call, moment now) {
+    const auto& rule = route_of(call);
+    hop_info it;
+    it.caller_service = state.settings.service;
+    it.service = call.service;
+    it.route = rule.name;
+    it.left = call.due - now;
+    it.objective = rule.latency_objective;
+    it.position = call.position;
+    it.idempotent = rule.repeat == repeatability::idempotent;
+    it.nested = call.nested;
+    it.repeat = call.repeat || call.targets_reached > 0;
+    it.config_version = config_version(state);
+    return it;
+}
+
+void count_arrival(mesh_state& state, const outbound_call& call, moment now) {
+    if (call.repeat || call.targets_reached > 0) {
+        count_repeat(state.budget, call.service, now);
+        if (call.targets_reached > 0) {
+            state.metrics.count_event("retry");
+        }
+    }
+    if (call.tried.empty()) {
+        count_first(state.budget, call.service, now);
+    }
+}
+
+/// Sends the call to the best target that was not tried.
+void attempt(mesh_state& state, outbound_id id) {
+    auto& call = state.calls.at(id);
+    const auto now = boot_clock::now();
+    auto* target = choose_target(state.targets, {call.service, state.settings.domain, call.tried, now, uniform(state)});
+    if (target == nullptr) {
+        answer_own(state, call, call.may_have_run ? 502 : 503, "no-target");
+        end_call(state, id);
+        return;
+    }
+    if (call.targets_reached > 0 && state.log.wants("request-repeated")) {
+        state.log.write_always("request-repeated", {{"request", call.request_id},
+                                                    {"service", call.service},
+                                                    {"node", target->entry.node},
+                                                    {"targets_reached", call.targets_reached}});
+    }
+    count_arrival(state, call, now);
+    call.tried.push_back(target->entry.node);
+    call.hop_node = target->entry.node;
+    ++target->in_flight;
+    const auto info = hop_info_of(state, call, now);
+    if (target->entry.node == state.settings.node) {
+        // The run may end inside the call, so its id is kept only if the call still waits for it.
+        const auto run = start_local_run(state, info, call.request, [&state, id](hop_result it) {
+            state.loop.post([&state, id, it = std::move(it)]() mutable { on_hop_result(state, id, std::move(it)); });
+        });
+        call.hop_run = run;
+        return;
+    }
+    auto request = call.request;
+    request.headers.emplace_back(hop_header, encode_hop_info(info));
+    const duration limit = info.left + (info.idempotent ? hop_slack : unrepeatable_slack);
+    call.hop_exchange = state.peer_client->send(
+        target->entry.peer, std::move(request), limit, [&state, id](http_result result) {
+            on_hop_result(state, id, read_hop_answer(std::move(result), boot_clock::now()));
+        });
+}
+
+void cancel_hop(mesh_state& state, const outbound_call& call) {
+    if (call.hop_run) {
+        cancel_local_run(state, *call.hop_run);
+    } else if (call.hop_exchange) {
+        state.peer_client->cancel(*call.hop_exchange);
+    }
+}
+
+void on_timeout(mesh_state& state, outbound_id id) {
+    const auto found = state.calls.find(id);
+    if (found == state.calls.end() || found->second.answered) {
+        return;
+    }
+    auto& call = found->second;
+    answer_own(state, call, 504, "timeout");
+    if (route_of(call).repeat == repeatability::idempotent) {
+        cancel_hop(state, call);
+    }
+}
+
+void on_caller_gone(mesh_state& state, outbound_id id) {
+    const auto found = state.calls.find(id);
+    if (found == state.calls.end() || found->second.answered) {
+        return;
+    }
+    auto& call = found->second;
+    call.caller_gone = true;
+    call.answered = true;
+    call.timer.cancel();
+    state.metrics.count_request(route_name(call), 0, "caller-gone", to_ms(boot_clock::now() - call.arrived) / 1000);
+    if (route_of(call).repeat == repeatability::idempotent) {
+        cancel_hop(state, call);
+    }
+}
+
+/// Finds the local run that makes this call: targets append a suffix to the id of the request that they run.
+/// A call whose parent isn't found counts as a caller's own request.
+const local_run* find_parent(const mesh_state& state, std::string_view request_id) {
+    const auto dot = request_id.rfind('.');
+    if (dot == std::string_view::npos) {
+        return nullptr;
+    }
+    const auto found = state.runs_by_request.find(std::string{request_id.substr(0, dot)});
+    if (found == state.runs_by_request.end()) {
+        return nullptr;
+    }
+    const auto run = state.runs.find(found->second);
+    return run == state.runs.end() ? nullptr : &run->second;
+}
+
+/// Sets the place of a request in the order of shedding.
+void place(mesh_state& state, outbound_call& call, span_of_time deadline) {
+    if (const auto* parent = find_parent(state, call.request_id)) {
+        call.parent = parent->id;
+        call.nested = true;
+        call.repeat = parent->info.repeat;
+        call.position = parent->info.position;
+        return;
+    }
+    const auto& rule = route_of(call);
+    auto& usual = state.usual_deadlines[rule.name];
+    const bool returning = to_ms(deadline) < to_ms(usual) * returning_part;
+    usual = std::max(usual, deadline);
+    call.position = rule.rank + uniform(state) * (returning ? returning_position : 1.0);
+}
+
+/// Refuses a request that the services behind it have no room for. Returns whether it was admitted.
+bool admit(mesh_state& state, outbound_call& call) {
+    if (call.nested) {
+        return true;
+    }
+    const auto level = level_for_route(state.knowledge, route_of(call).name, boot_clock::now());
+    if (call.position < level.level) {
+        return true;
+    }
+    if (state.log.wants("request-refused")) {
+        state.log.write_always("request-refused", {{"request", call.request_id},
+                                                   {"route", route_of(call).name},
+                                                   {"position", call.position},
+                                                   {"level", level.level},
+                                                   {"tightest", level.service},
+                                                   {"level_age_ms", to_ms(level.age)}});
+    }
+    answer_own(state, call, 503, "overload");
+    return false;
+}
+
+/// Returns why a request is refused as it stands, with the status, or 0.
+unsigned check_request(const mesh_state& state, const http_request& request) {
+    const auto hosts = std::count_if(request.headers.begin(), request.headers.end(), [](const auto& field) {
+        return same_header(field.first, "Host");
+    });
+    if (hosts != 1 || !request.target.starts_with('/')) {
+        return 400;
+    }
+    if (header_or_empty(request.headers, state.port.headers.request_id).empty()) {
+        return 400;
+    }
+    return state.config ? 0 : 503;
+}
+
+span_of_time deadline_of(const mesh_state& state, const http_request& request) {
+    const auto ms = parse_number(header_or_empty(request.headers, state.port.headers.time_left_ms));
+    // A day bounds what a caller may ask for, so that sums of times stay in range.
+    constexpr std::uint64_t longest_ms = 86'400'000;
+    return ms ? span_of_time{std::chrono::milliseconds{std::min(*ms, longest_ms)}} : span_of_time{default_deadline};
+}
+
+} // namespace
+
+void handle_outbound(mesh_state& state, http_request request, const std::shared_ptr<http_exchange>& exchange) {
+    outbound_call call;
+    call.id = ++state.last_call;
+    call.exchange = exchange;
+    call.arrived = boot_clock::now();
+    call.request_id = header_or_empty(request.headers, state.port.headers.request_id);
+    const auto deadline = deadline_of(state, request);
+    call.due = call.arrived + deadline;
+    if (const auto status = check_request(state, request); status != 0) {
+        answer_own(state, call, status, status == 400 ? "malformed" : "no-config");
+        return;
+    }
+    call.config = state.config;
+    const auto host = header_or_empty(request.headers, "Host");
+    call.route_index = call.config->table.find(host, path_of(request.target));
+    if (call.route_index == route_table::npos) {
+        call.config = nullptr;
+        answer_own(state, call, 404, "no-route");
+        return;
+    }
+    const auto& rule = route_of(call);
+    call.timeout_at = call.arrived + rule.timeout;
+    call.due = std::min(call.due, call.timeout_at);
+    call.service = choose_service(rule, state.requests_by_route[rule.name]++);
+    request.headers = forwarded_request_headers(request.headers, state.port.headers);
+    call.request = std::move(request);
+    place(state, call, deadline);
+    if (!admit(state, call)) {
+        return;
+    }
+    const auto id = call.id;
+    call.timer = state.loop.schedule(call.due - call.arrived, [&state, id] { on_timeout(state, id); });
+    exchange->on_abandoned([&state, id] { on_caller_gone(state, id); });
+    state.calls.emplace(id, std::move(call));
+    attempt(state, id);
+}
+
+void expire_outbound(mesh_state& state) {
+    const auto now = boot_clock::now();
+    std::vector<outbound_id> expired;
+    for (const auto& [id, call] : state.calls) {
+        if (!call.answered && call.due <= now) {
+            expired.push_back(id);
+        }
+    }
+    for (const auto id : expired) {
+        on_timeout(state, id);
+    }
+}
+
+} // namespace baobabswitch
--- /dev/null
+++ b/src/libmesh/platformport.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "bootclock.h"
+#include "errors.h"
+#include "httpmessage.h"
+#include "retrybudget.h"
+#include "routing.h"
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace baobabswitch {
+
+/// Names of the header fields that callers and targets use.
+struct call_headers {
+    std::string request_id;      ///< one for each attempt of a caller; targets repeat it
+    std::string time_left_ms;    ///< how long the sender waits, in milliseconds
+    std::string signature;       ///< set by targets on each answer
+    std::string target_instance; ///< the only target that may run the request
+    std::string not_executed;    ///< set by a target that did not run the request
+    std::string caller_service;  ///< service of the VM where the request began
+    std::string instance_id;     ///< target's id in health answers
+    std::string load;            ///< target's load
+};
+
+/// What a target says of itself.
+struct target_announcement {
+    std::string instance;
+    std::string service;
+    std::string domain;
+    endpoint address;
+    std::uint64_t started_ms = 0; ///< Unix time of its start
+    std::uint64_t sequence = 0;   ///< of its announcements since the start
+    unsigned slots = 0;
+    bool leaving = false;
+    bool withdrawn = false; ///< the last announcement, without the fields but the id
+    span_of_time warmup_left{};
+};
+
+/// Addresses that a node listens on.
+struct node_listen {
+    endpoint inbound;  ///< calls from other nodes
+    endpoint outbound; ///< calls from callers and from the local target
+    endpoint ready;
+    endpoint control; ///< announcements of the local target
+    endpoint metrics;
+};
+
+/// Settings of one node.
+struct mesh_settings {
+    std::string node;
+    std::string domain;
+    std::string service; ///< of the local target
+    endpoint target;     ///< address of the local target
+    node_listen listen;
+    endpoint store;
+    bool first_start = false; ///< the whole system starts for the first time
+    retry_bounds retries;
+    span_of_time drain_time = std::chrono::seconds{2}; ///< after it a leaving target gets no new calls
+    span_of_time stop_time = std::chrono::seconds{6};  ///< from SIGTERM to SIGKILL
+    std::size_t memory_bytes = 0;                      ///< the process is killed above it
+};
+
+/// Everything that differs between deployments: names, formats and calls, but no decisions.
+struct platform_port {
+    call_headers headers;
+    std::string ready_path;
+    std::string config_kind; ///< store kind of the published configuration
+    std::string config_name;
+    std::string target_kind; ///< store kind of the targets' entries
+    std::function<result<mesh_config>(std::string_view)> decode_config;
+    std::function<result<target_announcement>(const http_request&)> decode_announcement;
+};
+
+} // namespace baobabswitch
--- /dev/null
+++ b/src/libmesh/routing.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "bootclock.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace baobabswitch {
+
+/// Whether a request may run more than once.
+enum class repeatability { idempotent, at_most_once };
+
+/// One service of a route and its part of the requests.
+struct split_part {
+    std::string service;
+    double weight = 1;
+};
+
+/// Rule that leads requests of one host and path to a service.
+struct route {
+    std::string name;
+    std::string host;
+    std::string path_prefix;
+    repeatability repeat = repeatability::at_most_once;
+    span_of_time timeout{};           ///< the caller gets a final answer within this time
+    span_of_time latency_objective{}; ///< an answer within this time is worth its full value
+    unsigned rank = 0;                ///< 0 is the most important
+    unsigned max_targets = 1;         ///< targets that one request may be sent to
+    std::vector<split_part> parts;    ///< never empty
+};
+
+/// What the configuration says of a service.
+struct service_policy {
+    std::string name;
+    std::string health_path;
+    std::size_t max_connections = 0; ///< of one target, from all callers
+};
+
+/// Bounds on what callers may send.
+struct caller_limits {
+    std::size_t header_bytes = 16 * 1024;
+    std::size_t body_bytes = 1024 * 1024;
+    span_of_time header_timeout = std::chrono::seconds{5};
+    span_of_time idle_timeout = std::chrono::seconds{60};
+};
+
+/// One version of the routes, services and limits, as published by the operators.
+struct mesh_config {
+    std::uint64_t version = 0; ///< 0 means none
+    std::vector<route> routes;
+    std::vector<service_policy> services;
+    caller_limits limits;
+};
+
+/// Finds the route of a request among those of one configuration.
+class route_table {
+public:
+    route_table() = default;
+    explicit route_table(const mesh_config& config);
+
+    /// Returns the index of the route with the longest prefix of the path, or npos. The host compares without
+    /// regard to case, and a port behind it is ignored.
+    std::size_t find(std::string_view host, std::string_view path) const;
+
+    static constexpr std::size_t npos = static_cast<std::size_t>(-1);
+
+private:
+    struct entry {
+        std::string prefix;
+        std::size_t index;
+    };
+    std::unordered_map<std::string, std::vector<entry>> by_host_; ///< longest prefix first
+};
+
+/// Returns the service of the n-th request of a route. The parts get their shares evenly over any run of
+/// requests, not only in the mean.
+const std::string& choose_service(const route& it, std::uint64_t n);
+
+/// Returns the largest rank of a configuration plus one: the level at which everything is admitted.
+double open_level(const mesh_config& config);
+
+} // namespace baobabswitch
--- /dev/null
+++ b/src/libmesh/targetdirectory.cpp
@@ -0,0 +1,114 @@
+#include "targetdirectory.h"
+
+#include <algorithm>
+
+namespace baobabswitch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Load that another failure domain must be below the own one's by, as a fraction of capacity. Keeps traffic
+/// between domains low while the own one has room.
+constexpr double domain_penalty = 0.35;
+/// Random part of a score, so that nodes with the same view do not choose the same target together.
+constexpr double score_jitter = 0.1;
+/// Age after which a report no longer counts: the load of a target that gets no calls is unknown and falls.
+constexpr milliseconds report_lifetime{1500};
+/// First and longest time that an unreachable target is avoided.
+constexpr milliseconds first_avoidance{100};
+constexpr milliseconds longest_avoidance{1600};
+/// Least work that a score assumes, so that an idle slow target does not look as good as an idle fast one.
+constexpr double base_load = 0.15;
+
+bool is_excluded(std::span<const std::string> excluded, std::string_view node) {
+    return std::find(excluded.begin(), excluded.end(), node) != excluded.end();
+}
+
+} // namespace
+
+bool update_target(target_table& table, const target_entry& it) {
+    const auto found = table.by_node.find(it.node);
+    if (found == table.by_node.end()) {
+        table.by_node[it.node].entry = it;
+        return true;
+    }
+    auto& known = found->second;
+    const bool older = it.revision != 0 && known.entry.revision != 0
+                           ? it.revision < known.entry.revision
+                           : it.started_ms < known.entry.started_ms;
+    if (older || known.entry == it) {
+        return false;
+    }
+    const bool same_target = known.entry.instance == it.instance && known.entry.peer == it.peer;
+    if (!same_target) {
+        const auto in_flight = known.in_flight;
+        known = {};
+        known.in_flight = in_flight;
+        known.in_flight_at_report = in_flight;
+    }
+    known.entry = it;
+    return true;
+}
+
+void remove_target(target_table& table, std::string_view node) {
+    const auto found = table.by_node.find(node);
+    if (found != table.by_node.end()) {
+        table.by_node.erase(found);
+    }
+}
+
+double expected_load(const target_view& it, moment now) {
+    const double capacity = std::max(1.0, it.report.capacity > 0 ? it.report.capacity : it.entry.slots);
+    const double age = to_ms(now - it.reported_at) / to_ms(report_lifetime);
+    const double fresh = it.report.capacity > 0 ? std::clamp(1.0 - age, 0.0, 1.0) : 0.0;
+    const double reported = (it.report.running + it.report.waiting) * fresh;
+    const double since = static_cast<double>(it.in_flight) - static_cast<double>(it.in_flight_at_report) * fresh;
+    return std::max({reported + since, static_cast<double>(it.in_flight), 0.0}) / capacity;
+}
+
+target_view* choose_target(target_table& table, const choice_inputs& inputs) {
+    target_view* best = nullptr;
+    double best_score = 0;
+    bool best_avoided = false;
+    std::uint32_t n = 0;
+    for (auto& [node, it] : table.by_node) {
+        if (it.entry.service != inputs.service || !it.entry.accepting || is_excluded(inputs.excluded, node)) {
+            continue;
+        }
+        const bool avoided = it.avoid_until > inputs.now;
+        const double load = expected_load(it, inputs.now);
+        // Spreads the jitter over the candidates without a random number for each.
+        const double shift = static_cast<double>((++n * 2654435761U) >> 8U) / static_cast<double>(1U << 24U);
+        const double jitter = inputs.jitter + shift < 1 ? inputs.jitter + shift : inputs.jitter + shift - 1;
+        double score = (base_load + load) * std::max(0.3, it.report.slowness) + score_jitter * jitter;
+        if (it.entry.domain != inputs.own_domain) {
+            score += domain_penalty;
+        }
+        if (best == nullptr || (best_avoided && !avoided) || (best_avoided == avoided && score < best_score)) {
+            best = &it;
+            best_score = score;
+            best_avoided = avoided;
+        }
+    }
+    return best;
+}
+
+void record_report(target_view& it, const load_report& report, moment now) {
+    it.report = report;
+    it.reported_at = now;
+    it.in_flight_at_report = it.in_flight;
+}
+
+void record_unavailable(target_view& it, moment now) {
+    const auto doubled = first_avoidance * (1U << std::min(it.consecutive_failures, 4U));
+    it.avoid_until = now + std::min<milliseconds>(doubled, longest_avoidance);
+    ++it.consecutive_failures;
+}
+
+void record_available(target_view& it) {
+    it.consecutive_failures = 0;
+    it.avoid_until = {};
+}
+
+} // namespace baobabswitch
