Keep a target working while its node stops, and recall it after a restart

Change: the gate stays open for 1.9 s after SIGTERM, and a restarted node takes the stored target as the current one until it announces itself; a health check still has to name it.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	@./scripts/lint $(BUILD)
 
 format: deps
-	@git ls-files -co --exclude-standard 'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h' | xargs clang-format -i
+	@git ls-files -co --exclude-standard 'platform/*.cpp' 'platform/*.h' 'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h' | xargs clang-format -i
 
 bench: build
 	@./scripts/run-bench $(BUILD)/bin
--- a/src/baobabswitch-mesh/main.cpp
+++ b/src/baobabswitch-mesh/main.cpp
@@ -31,7 +31,8 @@
     buf << in.rdbuf();
     if (!in) {
         return error{error_kind::bad_settings, "the settings file " + name + " can't be read",
-                     std::string{"name a readable file with --settings or in "} + platform::settings_variable};
+                     std::string{"name a readable file with --settings or in "} +
+                         platform::settings_variable};
     }
     return std::move(buf).str();
 }
@@ -67,7 +68,8 @@
     // A peer that closes while this process writes is reported by the write itself.
     (void)std::signal(SIGPIPE, SIG_IGN);
     event_loop loop;
-    auto store = platform::make_metadata_store(loop, settings.value().store, settings.value().listen.inbound.host);
+    auto store =
+        platform::make_metadata_store(loop, settings.value().store, settings.value().listen.inbound.host);
     auto created = mesh_node::create(loop, settings.value(), platform::make_port(), std::move(store));
     if (!created) {
         return report(created.error());
@@ -84,7 +86,8 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    cxxopts::Options options{"baobabswitch-mesh", "The baobabswitch node on a platform: one runs beside each target."};
+    cxxopts::Options options{"baobabswitch-mesh",
+                             "The baobabswitch node on a platform: one runs beside each target."};
     options.add_options()("settings", "settings file written by the platform", cxxopts::value<std::string>())(
         "check-settings", "check the settings file and exit")("version", "print the version and exit")(
         "help", "print this help and exit");
--- a/src/libhttp/httpclient.cpp
+++ b/src/libhttp/httpclient.cpp
@@ -87,7 +87,8 @@
 
 void set_liveness_options(int socket, const http_client_options& options) {
     if (options.user_timeout.count() > 0) {
-        set_integer_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(options.user_timeout.count()));
+        set_integer_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                           static_cast<int>(options.user_timeout.count()));
     }
     if (options.keepalive_probe.count() > 0) {
         const auto seconds = static_cast<int>(options.keepalive_probe.count());
--- a/src/libmesh/bootclock.h
+++ b/src/libmesh/bootclock.h
@@ -5,8 +5,8 @@
 
 namespace baobabswitch {
 
-/// Monotonic clock that goes on while the VM is suspended (CLOCK_BOOTTIME). Deadlines use it, since the steady
-/// clock stands still during a suspension and the wall clock jumps.
+/// Monotonic clock that goes on while the VM is suspended (CLOCK_BOOTTIME). Deadlines use it, since the
+/// steady clock stands still during a suspension and the wall clock jumps.
 struct boot_clock {
     using duration = std::chrono::nanoseconds;
     using rep = duration::rep;
--- a/src/libmesh/decisionlog.cpp
+++ b/src/libmesh/decisionlog.cpp
@@ -87,7 +87,8 @@
     nlohmann::json line{{"time_ms", wall_clock_ms()}, {"node", node_}, {"event", event}};
     line.update(fields);
     const auto text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-    output()->forcedLog(log4cxx::Level::getInfo(), text, log4cxx::spi::LocationInfo::getLocationUnavailable());
+    output()->forcedLog(log4cxx::Level::getInfo(), text,
+                        log4cxx::spi::LocationInfo::getLocationUnavailable());
 }
 
 } // namespace baobabswitch
--- a/src/libmesh/directory.cpp
+++ b/src/libmesh/directory.cpp
@@ -24,8 +24,8 @@
 } // namespace
 
 std::string encode_entry(const target_entry& it) {
-    return json{{"peer", to_string(it.peer)}, {"domain", it.domain},       {"service", it.service},
-                {"instance", it.instance},    {"slots", it.slots},         {"accepting", it.accepting},
+    return json{{"peer", to_string(it.peer)}, {"domain", it.domain},        {"service", it.service},
+                {"instance", it.instance},    {"slots", it.slots},          {"accepting", it.accepting},
                 {"leaving", it.leaving},      {"started_ms", it.started_ms}}
         .dump();
 }
@@ -50,7 +50,8 @@
         content.at("started_ms").get_to(it.started_ms);
         return it;
     } catch (const json::exception& ex) {
-        return error{error_kind::malformed, "the entry of target node " + stored.name + " is malformed: " + ex.what(),
+        return error{error_kind::malformed,
+                     "the entry of target node " + stored.name + " is malformed: " + ex.what(),
                      "delete the object; its node writes it anew"};
     }
 }
@@ -71,10 +72,15 @@
       config_(std::make_unique<collection>()),
       targets_(std::make_unique<collection>()) {
     config_->kind = state.port.config_kind;
-    config_->take = [this](const stored_object& it) { take_config(it); };
-    config_->loaded = [](const std::set<std::string>&) {};
+    config_->take = [this](const stored_object& it) {
+        take_config(it);
+    };
+    config_->loaded = [](const std::set<std::string>&) {
+    };
     targets_->kind = state.port.target_kind;
-    targets_->take = [this](const stored_object& it) { take_target(it); };
+    targets_->take = [this](const stored_object& it) {
+        take_target(it);
+    };
     targets_->loaded = [this](const std::set<std::string>& names) {
         std::vector<std::string> gone;
         for (const auto& [node, view] : state_.targets.by_node) {
@@ -213,6 +219,7 @@
         if (entry.leaving) {
             remember_left(state_, entry);
         }
+        recall_target(state_, entry);
         return;
     }
     if (update_target(state_.targets, entry)) {
@@ -271,7 +278,8 @@
         store_.create(state_.port.target_kind, wanted.node, encode_entry(wanted), written);
         return;
     }
-    store_.replace(state_.port.target_kind, {wanted.node, own_revision_, encode_entry(wanted), false}, written);
+    store_.replace(state_.port.target_kind, {wanted.node, own_revision_, encode_entry(wanted), false},
+                   written);
 }
 
 void directory::on_written(result<stored_object> written) {
@@ -293,20 +301,21 @@
     if (conflict) {
         // An earlier write whose answer was lost, or this node before its restart: read what is stored.
         writing_ = true;
-        store_.get(state_.port.target_kind, state_.settings.node, [this, alive = alive_](result<stored_object> read) {
-            if (!*alive) {
-                return;
-            }
-            writing_ = false;
-            note_result(read.has_value(), "get");
-            if (!read) {
-                finish_write(false);
-                return;
-            }
-            own_revision_ = 0;
-            take_target(read.value());
-            write_own_entry();
-        });
+        store_.get(state_.port.target_kind, state_.settings.node,
+                   [this, alive = alive_](result<stored_object> read) {
+                       if (!*alive) {
+                           return;
+                       }
+                       writing_ = false;
+                       note_result(read.has_value(), "get");
+                       if (!read) {
+                           finish_write(false);
+                           return;
+                       }
+                       own_revision_ = 0;
+                       take_target(read.value());
+                       write_own_entry();
+                   });
         return;
     }
     state_.log.write("own-entry-not-stored", {{"error", describe(written.error())}});
--- a/src/libmesh/forwardedheaders.cpp
+++ b/src/libmesh/forwardedheaders.cpp
@@ -13,9 +13,11 @@
 
 /// Fields that concern one connection (RFC 9110, 7.6.1), and those that the message's writer sets anew.
 constexpr std::array connection_fields{
-    std::string_view{"Connection"}, std::string_view{"Keep-Alive"},        std::string_view{"Proxy-Connection"},
-    std::string_view{"TE"},         std::string_view{"Transfer-Encoding"}, std::string_view{"Trailer"},
-    std::string_view{"Upgrade"},    std::string_view{"Expect"},            std::string_view{"Content-Length"},
+    std::string_view{"Connection"},        std::string_view{"Keep-Alive"},
+    std::string_view{"Proxy-Connection"},  std::string_view{"TE"},
+    std::string_view{"Transfer-Encoding"}, std::string_view{"Trailer"},
+    std::string_view{"Upgrade"},           std::string_view{"Expect"},
+    std::string_view{"Content-Length"},
 };
 
 char lower(char it) {
@@ -42,7 +44,9 @@
 http_headers end_to_end(const http_headers& headers) {
     const auto listed = listed_names(headers);
     const auto concerns_connection = [&](std::string_view name) {
-        const auto same = [&](std::string_view it) { return same_header(it, name); };
+        const auto same = [&](std::string_view it) {
+            return same_header(it, name);
+        };
         return std::any_of(connection_fields.begin(), connection_fields.end(), same) ||
                std::any_of(listed.begin(), listed.end(), same);
     };
@@ -71,7 +75,8 @@
     auto kept = end_to_end(headers);
     std::erase_if(kept, [&](const auto& field) {
         return same_header(field.first, hop_header) || same_header(field.first, names.caller_service) ||
-               same_header(field.first, names.target_instance) || same_header(field.first, names.time_left_ms);
+               same_header(field.first, names.target_instance) ||
+               same_header(field.first, names.time_left_ms);
     });
     return kept;
 }
--- a/src/libmesh/hopprotocol.cpp
+++ b/src/libmesh/hopprotocol.cpp
@@ -69,7 +69,8 @@
 
 std::string encode_hop_result(const hop_result& result, moment now) {
     json it{{"outcome", outcome_text(result.outcome)},
-            {"load", {result.load.running, result.load.waiting, result.load.capacity, rounded(result.load.slowness)}},
+            {"load",
+             {result.load.running, result.load.waiting, result.load.capacity, rounded(result.load.slowness)}},
             {"version", result.config_version}};
     if (!result.reason.empty()) {
         it["reason"] = result.reason;
--- a/src/libmesh/localruns.cpp
+++ b/src/libmesh/localruns.cpp
@@ -12,7 +12,8 @@
 
 using nlohmann::json;
 
-/// Time that an exchange with the target may outlast the call's own, so that the target's late answer is seen.
+/// Time that an exchange with the target may outlast the call's own, so that the target's late answer is
+/// seen.
 constexpr milliseconds answer_slack{50};
 /// The same for a call that may not be repeated: its outcome still frees the slot.
 constexpr milliseconds unrepeatable_slack{1000};
@@ -77,7 +78,8 @@
     state.metrics.count_run(it.outcome == hop_outcome::answered  ? "answered"
                             : it.outcome == hop_outcome::not_run ? "not_run"
                                                                  : "unknown",
-                            it.reason, to_ms(handed_over - run.arrived) / 1000, to_ms(now - handed_over) / 1000);
+                            it.reason, to_ms(handed_over - run.arrived) / 1000,
+                            to_ms(now - handed_over) / 1000);
     if (it.outcome == hop_outcome::not_run) {
         log_not_run(state, run, it.reason);
     }
@@ -137,10 +139,11 @@
     }
     auto it = read_answer(state, std::move(answer));
     if (it.outcome == hop_outcome::unknown && state.log.wants("run-unknown")) {
-        state.log.write_always("run-unknown", {{"request", found->second.request_id},
-                                               {"route", found->second.info.route},
-                                               {"reason", it.reason},
-                                               {"after_ms", to_ms(boot_clock::now() - found->second.handed_over)}});
+        state.log.write_always("run-unknown",
+                               {{"request", found->second.request_id},
+                                {"route", found->second.info.route},
+                                {"reason", it.reason},
+                                {"after_ms", to_ms(boot_clock::now() - found->second.handed_over)}});
     }
     if (it.reason == "target-unreachable" && state.target.reachable) {
         state.target.reachable = false;
@@ -187,7 +190,7 @@
 
 /// Returns why a call can't run here, or an empty text.
 std::string_view obstacle(const mesh_state& state, const hop_info& info) {
-    if (state.stopping) {
+    if (state.gate_closed) {
         return "node-stopping";
     }
     if (!state.target.current || !state.target.verified) {
@@ -220,8 +223,8 @@
         refuse_run(state, id, reason);
         return id;
     }
-    const slot_request wanted{id,           run.info.route, run.info.nested, run.info.position,
-                              run.info.left, run.info.objective};
+    const slot_request wanted{
+        id, run.info.route, run.info.nested, run.info.position, run.info.left, run.info.objective};
     switch (request_slot(state.gate, wanted, now)) {
     case slot_decision::start:
         hand_over(state, id);
--- a/src/libmesh/localruns.h
+++ b/src/libmesh/localruns.h
@@ -4,8 +4,8 @@
 
 namespace baobabswitch {
 
-/// Runs a call at the local target: at once, after a wait in the queue, or not at all. `done` is called exactly
-/// once, possibly from inside this function.
+/// Runs a call at the local target: at once, after a wait in the queue, or not at all. `done` is called
+/// exactly once, possibly from inside this function.
 run_id start_local_run(mesh_state& state, hop_info info, http_request request,
                        std::function<void(hop_result)> done);
 
--- a/src/libmesh/localtargetwatch.cpp
+++ b/src/libmesh/localtargetwatch.cpp
@@ -123,6 +123,22 @@
                                         {"verified", target.verified}});
 }
 
+void recall_target(mesh_state& state, const target_entry& stored) {
+    if (state.target.current || stored.leaving || stored.instance.empty() || state.settings.first_start) {
+        return;
+    }
+    target_announcement it;
+    it.instance = stored.instance;
+    it.service = stored.service;
+    it.domain = stored.domain;
+    it.address = state.settings.target;
+    it.started_ms = stored.started_ms;
+    it.slots = stored.slots;
+    if (stored.service == state.settings.service) {
+        (void)take_announcement(state, it);
+    }
+}
+
 void remember_left(mesh_state& state, const target_entry& stored) {
     auto& target = state.target;
     target_announcement it;
@@ -177,7 +193,7 @@
         it.slots = state.target.current->slots;
         it.started_ms = state.target.current->started_ms;
         it.leaving = state.target.leaving;
-        it.accepting = state.target.verified && !state.target.leaving && !state.stopping;
+        it.accepting = state.target.verified && !state.target.leaving && !state.withdrawing;
     }
     return it;
 }
--- a/src/libmesh/meshmetrics.cpp
+++ b/src/libmesh/meshmetrics.cpp
@@ -44,10 +44,11 @@
                                                           .Name("baobabswitch_events_total")
                                                           .Help("Decisions and input errors, by name")
                                                           .Register(registry);
-    prometheus::Family<prometheus::Counter>& store_calls = prometheus::BuildCounter()
-                                                               .Name("baobabswitch_store_calls_total")
-                                                               .Help("Calls to the platform's store, by result")
-                                                               .Register(registry);
+    prometheus::Family<prometheus::Counter>& store_calls =
+        prometheus::BuildCounter()
+            .Name("baobabswitch_store_calls_total")
+            .Help("Calls to the platform's store, by result")
+            .Register(registry);
     prometheus::Family<prometheus::Gauge>& gauges = prometheus::BuildGauge()
                                                         .Name("baobabswitch_state")
                                                         .Help("Current values, by name")
--- a/src/libmesh/meshmetrics.h
+++ b/src/libmesh/meshmetrics.h
@@ -19,7 +19,8 @@
     /// Counts a request that began here by route, status and reason, with its time.
     void count_request(std::string_view route, unsigned status, std::string_view reason, double seconds);
     /// Counts a call at the local target by outcome and reason, with its time in queue and target.
-    void count_run(std::string_view outcome, std::string_view reason, double wait_seconds, double service_seconds);
+    void count_run(std::string_view outcome, std::string_view reason, double wait_seconds,
+                   double service_seconds);
     /// Counts an event: "retry", "retry_denied", "malformed_announcement" and the like.
     void count_event(std::string_view event);
     /// Counts a call to the store by result.
--- a/src/libmesh/meshnode.cpp
+++ b/src/libmesh/meshnode.cpp
@@ -21,6 +21,10 @@
 constexpr milliseconds acknowledgement_wait{500};
 /// Least time from SIGTERM to the end: callers ask for readiness once a second and leave after two misses.
 constexpr milliseconds least_stop_time{2600};
+/// Times from SIGTERM at which other nodes are told to send no more calls, and at which calls are refused.
+/// Until then the target goes on working: during the rest of the stop it is idle.
+constexpr milliseconds withdraw_after{1400};
+constexpr milliseconds close_gate_after{1900};
 /// Time before SIGKILL at which the node ends in any case.
 constexpr milliseconds stop_margin{300};
 /// Time for the last answers to leave the process.
@@ -57,7 +61,8 @@
 
 } // namespace
 
-result<std::unique_ptr<mesh_node>> mesh_node::create(event_loop& loop, mesh_settings settings, platform_port port,
+result<std::unique_ptr<mesh_node>> mesh_node::create(event_loop& loop, mesh_settings settings,
+                                                     platform_port port,
                                                      std::unique_ptr<object_client> store) {
     auto it = std::make_unique<mesh_node>(loop, std::move(settings), std::move(port), std::move(store));
     if (const auto listening = it->listen(); !listening) {
@@ -81,7 +86,9 @@
     state_.on_newer_config = [this](std::uint64_t, const endpoint& peer) {
         directory_.fetch_config([this, peer] { pull_peer_state(state_, peer); });
     };
-    state_.on_uninformed_peer = [this](const endpoint& peer) { push_peer_state(state_, peer); };
+    state_.on_uninformed_peer = [this](const endpoint& peer) {
+        push_peer_state(state_, peer);
+    };
 }
 
 mesh_node::~mesh_node() = default;
@@ -103,19 +110,27 @@
 result<void> mesh_node::listen() {
     const auto& addresses = state_.settings.listen;
     const auto options = server_options(state_.settings);
-    BOOST_OUTCOME_TRYV(add_server(addresses.outbound, options, [this](http_request request, const std::shared_ptr<http_exchange>& exchange) {
-                      handle_outbound(state_, std::move(request), exchange);
-                  }));
+    BOOST_OUTCOME_TRYV(
+        add_server(addresses.outbound, options,
+                   [this](http_request request, const std::shared_ptr<http_exchange>& exchange) {
+                       handle_outbound(state_, std::move(request), exchange);
+                   }));
     outbound_ = servers_.back().get();
-    BOOST_OUTCOME_TRYV(add_server(addresses.inbound, options, [this](http_request request, const std::shared_ptr<http_exchange>& exchange) {
-                      handle_inbound(std::move(request), exchange);
-                  }));
-    BOOST_OUTCOME_TRYV(add_server(addresses.control, options, [this](const http_request& request, const std::shared_ptr<http_exchange>& exchange) {
-                      handle_announcement(request, exchange);
-                  }));
-    BOOST_OUTCOME_TRYV(add_server(addresses.ready, options, [this](const http_request& request, const std::shared_ptr<http_exchange>& exchange) {
-                      handle_ready(request, *exchange);
-                  }));
+    BOOST_OUTCOME_TRYV(
+        add_server(addresses.inbound, options,
+                   [this](http_request request, const std::shared_ptr<http_exchange>& exchange) {
+                       handle_inbound(std::move(request), exchange);
+                   }));
+    BOOST_OUTCOME_TRYV(
+        add_server(addresses.control, options,
+                   [this](const http_request& request, const std::shared_ptr<http_exchange>& exchange) {
+                       handle_announcement(request, exchange);
+                   }));
+    BOOST_OUTCOME_TRYV(
+        add_server(addresses.ready, options,
+                   [this](const http_request& request, const std::shared_ptr<http_exchange>& exchange) {
+                       handle_ready(request, *exchange);
+                   }));
     return add_server(addresses.metrics, options,
                       [this](const http_request&, const std::shared_ptr<http_exchange>& exchange) {
                           exchange->respond({200, {{"Content-Type", "text/plain"}}, state_.metrics.render()});
@@ -131,7 +146,8 @@
     auto info = decode_hop_info(text.value_or(std::string_view{}));
     if (!info) {
         state_.metrics.count_event("malformed_hop");
-        state_.log.write("hop-rejected", {{"error", describe(info.error())}, {"from", exchange->remote_host()}});
+        state_.log.write("hop-rejected",
+                         {{"error", describe(info.error())}, {"from", exchange->remote_host()}});
         exchange->respond(json_response(400, R"({"error":"malformed"})"));
         return;
     }
@@ -147,7 +163,8 @@
     }
 }
 
-void mesh_node::handle_announcement(const http_request& request, const std::shared_ptr<http_exchange>& exchange) {
+void mesh_node::handle_announcement(const http_request& request,
+                                    const std::shared_ptr<http_exchange>& exchange) {
     auto decoded = state_.port.decode_announcement(request);
     if (!decoded) {
         state_.metrics.count_event("malformed_announcement");
@@ -249,11 +266,16 @@
     state_.stopping = true;
     stop_started_ = boot_clock::now();
     state_.log.write_always("stopping", {{"calls", state_.calls.size()}, {"runs", state_.runs.size()}});
-    refuse_queued_runs(state_, "node-stopping");
+    loop_.schedule(withdraw_after, [this] {
+        state_.withdrawing = true;
+        directory_.publish_own_entry([](bool) {});
+    });
+    loop_.schedule(close_gate_after, [this] {
+        state_.gate_closed = true;
+        refuse_queued_runs(state_, "node-stopping");
+    });
     if (state_.target.leaving) {
         directory_.withdraw_own_entry([] {});
-    } else {
-        directory_.publish_own_entry([](bool) {});
     }
     stop_when_idle();
 }
--- a/src/libmesh/meshnode.h
+++ b/src/libmesh/meshnode.h
@@ -13,10 +13,12 @@
 class mesh_node {
 public:
     /// Starts to listen and to follow the store. Fails with bad_settings when an address can't be bound.
-    static result<std::unique_ptr<mesh_node>> create(event_loop& loop, mesh_settings settings, platform_port port,
+    static result<std::unique_ptr<mesh_node>> create(event_loop& loop, mesh_settings settings,
+                                                     platform_port port,
                                                      std::unique_ptr<object_client> store);
 
-    mesh_node(event_loop& loop, mesh_settings settings, platform_port port, std::unique_ptr<object_client> store);
+    mesh_node(event_loop& loop, mesh_settings settings, platform_port port,
+              std::unique_ptr<object_client> store);
     ~mesh_node();
     mesh_node(const mesh_node&) = delete;
     mesh_node& operator=(const mesh_node&) = delete;
@@ -31,7 +33,8 @@
 
 private:
     result<void> listen();
-    result<void> add_server(const endpoint& address, http_server_options options, http_server::handler handler);
+    result<void> add_server(const endpoint& address, http_server_options options,
+                            http_server::handler handler);
     void handle_inbound(http_request request, const std::shared_ptr<http_exchange>& exchange);
     void handle_announcement(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
     void handle_ready(const http_request& request, http_exchange& exchange);
--- a/src/libmesh/meshstate.h
+++ b/src/libmesh/meshstate.h
@@ -77,10 +77,10 @@
     bool repeat = false; ///< of a run that was itself a repeat
     bool caller_gone = false;
     bool answered = false;
-    std::vector<std::string> tried;      ///< nodes
-    unsigned targets_reached = 0;        ///< targets that may have got the request
-    bool may_have_run = false;           ///< "not run" can no longer be told
-    std::string hop_node;                ///< of the attempt in progress
+    std::vector<std::string> tried; ///< nodes
+    unsigned targets_reached = 0;   ///< targets that may have got the request
+    bool may_have_run = false;      ///< "not run" can no longer be told
+    std::string hop_node;           ///< of the attempt in progress
     std::optional<http_client::exchange_id> hop_exchange;
     std::optional<run_id> hop_run; ///< when the target is the local one
     timer_handle timer;
@@ -120,7 +120,9 @@
 
     std::map<endpoint, moment> last_push; ///< of the own knowledge to uninformed peers
 
-    bool stopping = false;
+    bool stopping = false;    ///< the process ends soon; callers are told to leave
+    bool withdrawing = false; ///< other nodes are told to send no more calls
+    bool gate_closed = false; ///< the local target gets no new calls, since the process ends
     /// Called when a peer or an answer shows that a newer configuration exists.
     std::function<void(std::uint64_t version, const endpoint& peer)> on_newer_config;
     /// Called when a peer turns out to know no configuration.
--- a/src/libmesh/outboundcalls.cpp
+++ b/src/libmesh/outboundcalls.cpp
@@ -85,17 +85,18 @@
         response.headers.emplace_back("Retry-After", retry_after(state, call, now));
     }
     if (state.log.wants("request-failed")) {
-        state.log.write_always("request-failed", {{"request", call.request_id},
-                                                  {"route", route_name(call)},
-                                                  {"service", call.service},
-                                                  {"status", status},
-                                                  {"reason", reason},
-                                                  {"after_ms", to_ms(now - call.arrived)},
-                                                  {"left_ms", to_ms(call.due - now)},
-                                                  {"nested", call.nested},
-                                                  {"tried", call.tried},
-                                                  {"targets_reached", call.targets_reached},
-                                                  {"config_version", call.config ? call.config->config.version : 0}});
+        state.log.write_always("request-failed",
+                               {{"request", call.request_id},
+                                {"route", route_name(call)},
+                                {"service", call.service},
+                                {"status", status},
+                                {"reason", reason},
+                                {"after_ms", to_ms(now - call.arrived)},
+                                {"left_ms", to_ms(call.due - now)},
+                                {"nested", call.nested},
+                                {"tried", call.tried},
+                                {"targets_reached", call.targets_reached},
+                                {"config_version", call.config ? call.config->config.version : 0}});
     }
     answer(state, call, std::move(response), reason);
 }
@@ -248,7 +249,8 @@
 void attempt(mesh_state& state, outbound_id id) {
     auto& call = state.calls.at(id);
     const auto now = boot_clock::now();
-    auto* target = choose_target(state.targets, {call.service, state.settings.domain, call.tried, now, uniform(state)});
+    auto* target =
+        choose_target(state.targets, {call.service, state.settings.domain, call.tried, now, uniform(state)});
     if (target == nullptr) {
         answer_own(state, call, call.may_have_run ? 502 : 503, "no-target");
         end_call(state, id);
@@ -268,7 +270,8 @@
     if (target->entry.node == state.settings.node) {
         // The run may end inside the call, so its id is kept only if the call still waits for it.
         const auto run = start_local_run(state, info, call.request, [&state, id](hop_result it) {
-            state.loop.post([&state, id, it = std::move(it)]() mutable { on_hop_result(state, id, std::move(it)); });
+            state.loop.post(
+                [&state, id, it = std::move(it)]() mutable { on_hop_result(state, id, std::move(it)); });
         });
         call.hop_run = run;
         return;
@@ -311,7 +314,8 @@
     call.caller_gone = true;
     call.answered = true;
     call.timer.cancel();
-    state.metrics.count_request(route_name(call), 0, "caller-gone", to_ms(boot_clock::now() - call.arrived) / 1000);
+    state.metrics.count_request(route_name(call), 0, "caller-gone",
+                                to_ms(boot_clock::now() - call.arrived) / 1000);
     if (route_of(call).repeat == repeatability::idempotent) {
         cancel_hop(state, call);
     }
@@ -371,9 +375,8 @@
 
 /// Returns why a request is refused as it stands, with the status, or 0.
 unsigned check_request(const mesh_state& state, const http_request& request) {
-    const auto hosts = std::count_if(request.headers.begin(), request.headers.end(), [](const auto& field) {
-        return same_header(field.first, "Host");
-    });
+    const auto hosts = std::count_if(request.headers.begin(), request.headers.end(),
+                                     [](const auto& field) { return same_header(field.first, "Host"); });
     if (hosts != 1 || !request.target.starts_with('/')) {
         return 400;
     }
@@ -387,12 +390,14 @@
     const auto ms = parse_number(header_or_empty(request.headers, state.port.headers.time_left_ms));
     // A day bounds what a caller may ask for, so that sums of times stay in range.
     constexpr std::uint64_t longest_ms = 86'400'000;
-    return ms ? span_of_time{std::chrono::milliseconds{std::min(*ms, longest_ms)}} : span_of_time{default_deadline};
+    return ms ? span_of_time{std::chrono::milliseconds{std::min(*ms, longest_ms)}}
+              : span_of_time{default_deadline};
 }
 
 } // namespace
 
-void handle_outbound(mesh_state& state, http_request request, const std::shared_ptr<http_exchange>& exchange) {
+void handle_outbound(mesh_state& state, http_request request,
+                     const std::shared_ptr<http_exchange>& exchange) {
     outbound_call call;
     call.id = ++state.last_call;
     call.exchange = exchange;
--- a/src/libmesh/peerstate.cpp
+++ b/src/libmesh/peerstate.cpp
@@ -28,9 +28,10 @@
 
 result<void> take_peer_state(mesh_state& state, std::string_view text) {
     const auto it = json::parse(text, nullptr, false);
-    if (!it.is_object() || !it.contains("document") || !it["document"].is_string() || !it.contains("targets") ||
-        !it["targets"].is_object()) {
-        return error{error_kind::malformed, "a peer's state is malformed", "run the same version on all nodes"};
+    if (!it.is_object() || !it.contains("document") || !it["document"].is_string() ||
+        !it.contains("targets") || !it["targets"].is_object()) {
+        return error{error_kind::malformed, "a peer's state is malformed",
+                     "run the same version on all nodes"};
     }
     for (const auto& [node, stored] : it["targets"].items()) {
         if (node == state.settings.node || !stored.is_object() || !stored.contains("content") ||
@@ -70,18 +71,20 @@
 void pull_peer_state(mesh_state& state, const endpoint& peer) {
     http_request request;
     request.target = peer_state_path;
-    state.peer_client->send(peer, std::move(request), exchange_timeout, [&state, peer](const http_result& answer) {
-        const auto* response = std::get_if<http_response>(&answer);
-        if (response == nullptr || response->status != 200) {
-            state.log.write("peer-state-unavailable", {{"peer", to_string(peer)}});
-            return;
-        }
-        const auto taken = take_peer_state(state, response->body);
-        if (!taken) {
-            state.metrics.count_event("malformed_peer_state");
-            state.log.write("peer-state-rejected", {{"peer", to_string(peer)}, {"error", describe(taken.error())}});
-        }
-    });
+    state.peer_client->send(
+        peer, std::move(request), exchange_timeout, [&state, peer](const http_result& answer) {
+            const auto* response = std::get_if<http_response>(&answer);
+            if (response == nullptr || response->status != 200) {
+                state.log.write("peer-state-unavailable", {{"peer", to_string(peer)}});
+                return;
+            }
+            const auto taken = take_peer_state(state, response->body);
+            if (!taken) {
+                state.metrics.count_event("malformed_peer_state");
+                state.log.write("peer-state-rejected",
+                                {{"peer", to_string(peer)}, {"error", describe(taken.error())}});
+            }
+        });
 }
 
 void push_peer_state(mesh_state& state, const endpoint& peer) {
@@ -95,10 +98,11 @@
     request.method = "POST";
     request.target = peer_state_path;
     request.body = encode_peer_state(state);
-    state.peer_client->send(peer, std::move(request), exchange_timeout, [&state, peer](const http_result& answer) {
-        const bool taken = std::holds_alternative<http_response>(answer);
-        state.log.write("peer-informed", {{"peer", to_string(peer)}, {"taken", taken}});
-    });
+    state.peer_client->send(
+        peer, std::move(request), exchange_timeout, [&state, peer](const http_result& answer) {
+            const bool taken = std::holds_alternative<http_response>(answer);
+            state.log.write("peer-informed", {{"peer", to_string(peer)}, {"taken", taken}});
+        });
 }
 
 } // namespace baobabswitch
--- a/src/libmesh/retrybudget.h
+++ b/src/libmesh/retrybudget.h
@@ -11,8 +11,8 @@
 
 /// Bound on repeated calls that all nodes share.
 struct retry_bounds {
-    double ratio = 0.2;  ///< repeats per first call to a service
-    double slack = 0;    ///< repeats allowed besides, of all nodes together
+    double ratio = 0.2; ///< repeats per first call to a service
+    double slack = 0;   ///< repeats allowed besides, of all nodes together
     span_of_time window = std::chrono::seconds{10};
 };
 
--- a/src/libmesh/targetdirectory.cpp
+++ b/src/libmesh/targetdirectory.cpp
@@ -34,9 +34,8 @@
         return true;
     }
     auto& known = found->second;
-    const bool older = it.revision != 0 && known.entry.revision != 0
-                           ? it.revision < known.entry.revision
-                           : it.started_ms < known.entry.started_ms;
+    const bool older = it.revision != 0 && known.entry.revision != 0 ? it.revision < known.entry.revision
+                                                                     : it.started_ms < known.entry.started_ms;
     if (older || known.entry == it) {
         return false;
     }
@@ -63,7 +62,8 @@
     const double age = to_ms(now - it.reported_at) / to_ms(report_lifetime);
     const double fresh = it.report.capacity > 0 ? std::clamp(1.0 - age, 0.0, 1.0) : 0.0;
     const double reported = (it.report.running + it.report.waiting) * fresh;
-    const double since = static_cast<double>(it.in_flight) - static_cast<double>(it.in_flight_at_report) * fresh;
+    const double since =
+        static_cast<double>(it.in_flight) - static_cast<double>(it.in_flight_at_report) * fresh;
     return std::max({reported + since, static_cast<double>(it.in_flight), 0.0}) / capacity;
 }
 
@@ -85,7 +85,8 @@
         if (it.entry.domain != inputs.own_domain) {
             score += domain_penalty;
         }
-        if (best == nullptr || (best_avoided && !avoided) || (best_avoided == avoided && score < best_score)) {
+        if (best == nullptr || (best_avoided && !avoided) ||
+            (best_avoided == avoided && score < best_score)) {
             best = &it;
             best_score = score;
             best_avoided = avoided;
--- a/src/libmesh/targetgate.cpp
+++ b/src/libmesh/targetgate.cpp
@@ -32,9 +32,9 @@
 }
 
 void insert_waiting(target_gate& gate, waiting_call it) {
-    const auto place = std::upper_bound(
-        gate.waiting.begin(), gate.waiting.end(), it,
-        [](const waiting_call& a, const waiting_call& b) { return a.order < b.order; });
+    const auto place =
+        std::upper_bound(gate.waiting.begin(), gate.waiting.end(), it,
+                         [](const waiting_call& a, const waiting_call& b) { return a.order < b.order; });
     gate.waiting.insert(place, std::move(it));
 }
 
--- a/src/libmesh/targetgate.h
+++ b/src/libmesh/targetgate.h
@@ -16,10 +16,10 @@
 struct slot_request {
     run_id id = 0;
     std::string route;
-    bool nested = false;       ///< made by a target on behalf of a running request
-    double position = 0;       ///< rank plus a random part in [0, 1); the largest is shed first
-    span_of_time left{};       ///< until the caller's time is over
-    span_of_time objective{};  ///< latency objective of the route
+    bool nested = false;      ///< made by a target on behalf of a running request
+    double position = 0;      ///< rank plus a random part in [0, 1); the largest is shed first
+    span_of_time left{};      ///< until the caller's time is over
+    span_of_time objective{}; ///< latency objective of the route
 };
 
 enum class slot_decision { start, wait, refuse };
@@ -37,20 +37,21 @@
 struct target_gate {
     unsigned slots = 0;
     unsigned running = 0;
-    std::vector<waiting_call> waiting;                     ///< sorted by order
-    std::unordered_map<std::string, double> service_ms;    ///< mean time in the target by route
-    std::unordered_map<std::string, double> baseline_ms;   ///< slowly moving mean, the usual time
+    std::vector<waiting_call> waiting;                   ///< sorted by order
+    std::unordered_map<std::string, double> service_ms;  ///< mean time in the target by route
+    std::unordered_map<std::string, double> baseline_ms; ///< slowly moving mean, the usual time
     double slowness = 1;
 };
 
-/// Calls that the gate hands over at a time. Less than all slots, since targets slow down when nearly full and
-/// new connections and health checks take slots too.
+/// Calls that the gate hands over at a time. Less than all slots, since targets slow down when nearly full
+/// and new connections and health checks take slots too.
 unsigned usable_slots(const target_gate& gate);
 
 /// Decides on a call. For `start`, the slot is taken.
 slot_decision request_slot(target_gate& gate, const slot_request& request, moment now);
 
-/// Gives back a slot after a call of a route that took so long; no time for a call that did not run to its end.
+/// Gives back a slot after a call of a route that took so long; no time for a call that did not run to its
+/// end.
 void release_slot(target_gate& gate, const std::string& route, std::optional<span_of_time> service_time);
 
 /// Takes calls out of the queue that may start now, and takes their slots.
