--- a/src/baobabswitch-mesh/main.cpp
+++ b/src/baobabswitch-mesh/main.cpp
@@ -1,7 +1,7 @@
+#include "bootsettings.h"
 #include "meshnode.h"
 #include "metadatastore.h"
 #include "port.h"
-#include "settings.h"
 #include "wirenames.h"
 
 #include <cxxopts.hpp>
--- a/src/libhttp/eventloop.cpp
+++ b/src/libhttp/eventloop.cpp
@@ -32,6 +32,7 @@
 void event_loop::run() {
     const auto guard = asio::make_work_guard(impl_->context);
     impl_->context.run();
+    impl_->context.restart();
 }
 
 void event_loop::stop() {
--- a/src/libhttp/eventloop.h
+++ b/src/libhttp/eventloop.h
@@ -38,7 +38,7 @@
     event_loop(event_loop&&) = delete;
     event_loop& operator=(event_loop&&) = delete;
 
-    /// Runs until stop() is called.
+    /// Runs until stop() is called; may be called again after that.
     void run();
     /// Ends run(); may be called from any thread.
     void stop();
--- a/src/libmesh/directory.cpp
+++ b/src/libmesh/directory.cpp
@@ -38,7 +38,8 @@
         it.revision = stored.revision;
         auto peer = parse_endpoint(content.at("peer").get<std::string>());
         if (!peer) {
-            return peer.error();
+            return error{error_kind::malformed, peer.error().message,
+                         "delete the object; its node writes it anew"};
         }
         it.peer = peer.value();
         content.at("domain").get_to(it.domain);
--- /dev/null
+++ b/tests/mesh/meshrig.cpp
@@ -0,0 +1,345 @@
+#include "meshrig.h"
+
+#include "port.h"
+
+#include <nlohmann/json.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <future>
+
+using namespace baobabswitch;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::uint16_t first_port = 18300;
+
+error away_error() {
+    return {error_kind::store_unavailable, "the store is away", "wait"};
+}
+
+class memory_client final : public object_client {
+public:
+    memory_client(event_loop& loop, memory_objects& store) : loop_(loop), store_(store) {}
+
+    void list(std::string_view kind, list_callback fn) override {
+        answer([this, kind = std::string{kind}, fn = std::move(fn)] { fn(read_list(kind)); });
+    }
+    void watch(std::string_view kind, std::uint64_t after, span_of_time wait, list_callback fn) override {
+        const std::lock_guard lock{store_.mutex};
+        if (store_.away) {
+            answer([fn = std::move(fn)] { fn(away_error()); });
+            return;
+        }
+        const auto done = std::make_shared<bool>(false);
+        store_.watches.push_back({&loop_, std::string{kind}, after, fn, done});
+        loop_.schedule(wait, [after, fn, done] {
+            if (!*done) {
+                *done = true;
+                fn(object_list{{}, after});
+            }
+        });
+        store_.changed(std::string{kind});
+    }
+    void get(std::string_view kind, std::string_view name, object_callback fn) override {
+        answer([this, kind = std::string{kind}, name = std::string{name}, fn = std::move(fn)] {
+            fn(read_object(kind, name));
+        });
+    }
+    void create(std::string_view kind, std::string_view name, std::string content,
+                object_callback fn) override {
+        write(std::string{kind}, {std::string{name}, 0, std::move(content), false}, std::move(fn));
+    }
+    void replace(std::string_view kind, const stored_object& it, object_callback fn) override {
+        write(std::string{kind}, it, std::move(fn));
+    }
+    void remove(std::string_view kind, std::string_view name, std::uint64_t revision,
+                object_callback fn) override {
+        write(std::string{kind}, {std::string{name}, revision, {}, true}, std::move(fn));
+    }
+
+private:
+    void answer(std::function<void()> fn) {
+        loop_.schedule(milliseconds{4}, std::move(fn));
+    }
+    result<object_list> read_list(const std::string& kind) {
+        const std::lock_guard lock{store_.mutex};
+        if (store_.away) {
+            return away_error();
+        }
+        object_list it;
+        it.revision = store_.revision;
+        for (const auto& [name, object] : store_.kinds[kind]) {
+            if (!object.deleted) {
+                it.objects.push_back(object);
+            }
+        }
+        return it;
+    }
+    result<stored_object> read_object(const std::string& kind, const std::string& name) {
+        const std::lock_guard lock{store_.mutex};
+        const auto& objects = store_.kinds[kind];
+        const auto found = objects.find(name);
+        if (store_.away) {
+            return away_error();
+        }
+        if (found == objects.end() || found->second.deleted) {
+            return error{error_kind::not_found, "no object", ""};
+        }
+        return found->second;
+    }
+    result<stored_object> write_object(const std::string& kind, const stored_object& it) {
+        const std::lock_guard lock{store_.mutex};
+        if (store_.away) {
+            return away_error();
+        }
+        auto& known = store_.kinds[kind][it.name];
+        const bool exists = known.revision != 0 && !known.deleted;
+        if ((it.revision == 0 && exists) || (it.revision != 0 && known.revision != it.revision)) {
+            return error{error_kind::conflict, "another revision", ""};
+        }
+        known = it;
+        known.revision = ++store_.revision;
+        store_.changed(kind);
+        return known;
+    }
+    void write(std::string kind, stored_object it, object_callback fn) {
+        answer([this, kind = std::move(kind), it = std::move(it), fn = std::move(fn)] {
+            fn(write_object(kind, it));
+        });
+    }
+
+    event_loop& loop_;
+    memory_objects& store_;
+};
+
+} // namespace
+
+std::unique_ptr<object_client> memory_objects::connect(event_loop& loop) {
+    return std::make_unique<memory_client>(loop, *this);
+}
+
+void memory_objects::put(const std::string& kind, const std::string& name, std::string content) {
+    const std::lock_guard lock{mutex};
+    kinds[kind][name] = {name, ++revision, std::move(content), false};
+    changed(kind);
+}
+
+void memory_objects::set_away(bool value) {
+    const std::lock_guard lock{mutex};
+    away = value;
+}
+
+std::string memory_objects::content(const std::string& kind, const std::string& name) {
+    const std::lock_guard lock{mutex};
+    return kinds[kind][name].content;
+}
+
+void memory_objects::changed(const std::string& kind) {
+    auto pending = std::move(watches);
+    watches.clear();
+    for (auto& it : pending) {
+        object_list changes;
+        changes.revision = revision;
+        for (const auto& [name, object] : kinds[kind]) {
+            if (it.kind == kind && object.revision > it.after) {
+                changes.objects.push_back(object);
+            }
+        }
+        if (changes.objects.empty()) {
+            watches.push_back(it);
+            continue;
+        }
+        it.loop->post([it, changes = std::move(changes)]() mutable {
+            if (!*it.done) {
+                *it.done = true;
+                it.fn(std::move(changes));
+            }
+        });
+    }
+}
+
+mesh_rig::mesh_rig(unsigned first_host) : first_host_(first_host), client_(loop, {}) {}
+
+mesh_rig::~mesh_rig() {
+    for (std::size_t n = 0; n < nodes.size(); ++n) {
+        kill_node(n);
+    }
+}
+
+std::size_t mesh_rig::add(const std::string& service, const std::string& domain, unsigned slots) {
+    const auto n = targets.size();
+    const auto host = "127.77." + std::to_string(first_host_) + "." + std::to_string(n + 1);
+    const auto at = [&](unsigned k) {
+        return endpoint{host, static_cast<std::uint16_t>(first_port + k)};
+    };
+    auto target = std::make_unique<rig_target>();
+    target->address = at(1);
+    target->instance = "t" + std::to_string(n);
+    auto server = http_server::listen(
+        loop, target->address, {},
+        [this, it = target.get()](http_request request, const std::shared_ptr<http_exchange>& exchange) {
+            serve(*it, std::move(request), exchange);
+        });
+    REQUIRE(server);
+    target->server = std::move(server.value());
+    mesh_settings it;
+    it.node = "n" + std::to_string(n);
+    it.domain = domain;
+    it.service = service;
+    it.target = target->address;
+    it.listen = {at(0), at(4), at(2), at(6), at(8)};
+    it.retries = {0.2, 49, std::chrono::seconds{10}};
+    settings.push_back(it);
+    targets.push_back(std::move(target));
+    nodes.emplace_back();
+    slots_.push_back(slots);
+    start_node(n, true);
+    return n;
+}
+
+void mesh_rig::start_node(std::size_t n, bool first_start) {
+    settings[n].first_start = first_start;
+    auto& it = nodes[n];
+    it.loop = std::make_unique<event_loop>();
+    auto created = mesh_node::create(*it.loop, settings[n], platform::make_port(), store.connect(*it.loop));
+    REQUIRE(created);
+    it.node = std::move(created.value());
+    it.thread = std::thread{[node_loop = it.loop.get()] {
+        node_loop->run();
+    }};
+}
+
+void mesh_rig::kill_node(std::size_t n) {
+    auto& it = nodes[n];
+    if (!it.node) {
+        return;
+    }
+    it.loop->stop();
+    it.thread.join();
+    {
+        const std::lock_guard lock{store.mutex};
+        std::erase_if(store.watches, [&](const auto& watch) { return watch.loop == it.loop.get(); });
+    }
+    it.node.reset();
+    it.loop.reset();
+}
+
+void mesh_rig::stop_node(std::size_t n) {
+    nodes[n].loop->post([node = nodes[n].node.get()] { node->stop(); });
+}
+
+std::uint64_t mesh_rig::version_of(std::size_t n) {
+    std::promise<std::uint64_t> version;
+    nodes[n].loop->post(
+        [&, node = nodes[n].node.get()] { version.set_value(config_version(node->state())); });
+    return version.get_future().get();
+}
+
+void mesh_rig::announce(std::size_t n, std::uint64_t sequence, bool leaving, std::uint64_t started_ms) {
+    http_request request;
+    request.method = "PUT";
+    request.target = "/baobabswitch/instances/" + targets[n]->instance;
+    request.body =
+        json{{"address", to_string(targets[n]->address)},
+             {"born", started_ms},
+             {"info",
+              {{"service", settings[n].service},
+               {"version", "v1"},
+               {"zone", settings[n].domain},
+               {"slots", slots_[n]}}},
+             {"status",
+              {{"state", leaving ? "draining" : "ready"}, {"sequence", sequence}, {"cold_left_s", 0}}}}
+            .dump();
+    client_.send(settings[n].listen.control, std::move(request), milliseconds{1000},
+                 [this](const http_result& it) {
+                     const auto* response = std::get_if<http_response>(&it);
+                     acknowledged += response != nullptr && response->status == 200 ? 1 : 0;
+                 });
+}
+
+void mesh_rig::withdraw(std::size_t n) {
+    http_request request;
+    request.method = "DELETE";
+    request.target = "/baobabswitch/instances/" + targets[n]->instance;
+    client_.send(settings[n].listen.control, std::move(request), milliseconds{1000},
+                 [this](const http_result& it) {
+                     const auto* response = std::get_if<http_response>(&it);
+                     acknowledged += response != nullptr && response->status == 200 ? 1 : 0;
+                 });
+}
+
+void mesh_rig::publish(std::uint64_t version, double timeout_s) {
+    char digits[16];
+    (void)std::snprintf(digits, sizeof digits, "%08llx", static_cast<unsigned long long>(version));
+    const auto path = [&](const char* name, const char* prefix, const char* kind, const char* service) {
+        return json{{"name", name},           {"path_prefix", prefix},   {"kind", kind},
+                    {"timeout_s", timeout_s}, {"target_latency_s", 0.4}, {"priority", 1},
+                    {"service", service},     {"max_attempts", 2}};
+    };
+    const json document{{"version", digits},
+                        {"services",
+                         {{{"name", "front"}, {"health_path", "/healthz"}, {"max_connections", 200}},
+                          {{"name", "back"}, {"health_path", "/healthz"}, {"max_connections", 200}}}},
+                        {"limits",
+                         {{"max_header_bytes", 16384},
+                          {"max_body_bytes", 1048576},
+                          {"header_timeout_s", 3},
+                          {"idle_timeout_s", 15}}},
+                        {"virtual_hosts",
+                         {{{"host", "h.example"},
+                           {"paths",
+                            {path("read", "/read/", "idempotent", "front"),
+                             path("write", "/write/", "non_idempotent", "front"),
+                             path("back", "/back/", "idempotent", "back")}}}}}};
+    store.put("config", "main", document.dump());
+}
+
+std::shared_ptr<rig_answer> mesh_rig::send(std::size_t n, const std::string& method, const std::string& path,
+                                           const std::string& id, unsigned deadline_ms) {
+    auto it = std::make_shared<rig_answer>();
+    http_request request;
+    request.method = method;
+    request.target = path;
+    request.headers = {
+        {"Host", "h.example"}, {"X-Request-Id", id}, {"X-Deadline-Ms", std::to_string(deadline_ms)}};
+    const auto sent = boot_clock::now();
+    client_.send(settings[n].listen.outbound, std::move(request), milliseconds{deadline_ms},
+                 [it, sent](http_result answer) {
+                     it->after_ms = to_ms(boot_clock::now() - sent);
+                     if (auto* response = std::get_if<http_response>(&answer)) {
+                         it->status = response->status;
+                         it->response = std::move(*response);
+                     }
+                 });
+    return it;
+}
+
+void mesh_rig::run_for(milliseconds time) {
+    loop.schedule(time, [this] { loop.stop(); });
+    loop.run();
+}
+
+void mesh_rig::serve(rig_target& it, http_request request, const std::shared_ptr<http_exchange>& exchange) {
+    if (request.target == "/healthz") {
+        exchange->respond({it.healthy ? 200U : 503U, {{"X-Instance-Id", it.instance}}, {}});
+        return;
+    }
+    it.seen.push_back(request);
+    if (header_or_empty(request.headers, "X-Target-Instance") != it.instance) {
+        exchange->respond({421, {{"X-Instance-Id", it.instance}}, {}});
+        return;
+    }
+    const std::string id{header_or_empty(request.headers, "X-Request-Id")};
+    if (it.behaviour && it.behaviour(request, exchange)) {
+        return;
+    }
+    ++it.runs[id];
+    it.most_running = std::max(it.most_running, ++it.running);
+    loop.schedule(it.work, [&it, id, exchange] {
+        --it.running;
+        exchange->respond(
+            {200, {{"X-Request-Id", id}, {"X-Response-Signature", "s-" + id}}, "answer of " + id});
+    });
+}
--- /dev/null
+++ b/tests/mesh/meshrig.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "meshnode.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+/// Stand-in for the platform's store, in memory. While `away`, every call fails after a while. Nodes call it
+/// from their own threads; the mutex guards all members.
+class memory_objects {
+public:
+    std::mutex mutex;
+    std::map<std::string, std::map<std::string, baobabswitch::stored_object>> kinds;
+    std::uint64_t revision = 1;
+    bool away = false;
+    std::size_t calls = 0;
+
+    /// Returns a client of one node.
+    std::unique_ptr<baobabswitch::object_client> connect(baobabswitch::event_loop& loop);
+    /// Writes an object as the operators do.
+    void put(const std::string& kind, const std::string& name, std::string content);
+
+    void set_away(bool value);
+    /// Returns the content of an object.
+    std::string content(const std::string& kind, const std::string& name);
+
+    struct waiting_watch {
+        baobabswitch::event_loop* loop;
+        std::string kind;
+        std::uint64_t after;
+        baobabswitch::object_client::list_callback fn;
+        std::shared_ptr<bool> done;
+    };
+    std::vector<waiting_watch> watches;
+    /// Answers the watches that have news. The mutex is held.
+    void changed(const std::string& kind);
+};
+
+/// Stand-in for a target: runs each request for a while and records what ran.
+struct rig_target {
+    baobabswitch::endpoint address;
+    std::string instance;
+    std::unique_ptr<baobabswitch::http_server> server;
+    baobabswitch::milliseconds work{20};
+    bool healthy = true;
+    unsigned running = 0;
+    unsigned most_running = 0;
+    std::map<std::string, int> runs; ///< by request id
+    std::vector<baobabswitch::http_request> seen;
+    /// Answers in place of the usual run, if set.
+    std::function<bool(const baobabswitch::http_request&,
+                       const std::shared_ptr<baobabswitch::http_exchange>&)>
+        behaviour;
+};
+
+/// What a caller got.
+struct rig_answer {
+    unsigned status = 0; ///< 0: no answer
+    baobabswitch::http_response response;
+    double after_ms = 0;
+};
+
+/// One node on its own event loop and thread, so that it can be ended at any moment like a process.
+struct rig_node {
+    std::unique_ptr<baobabswitch::event_loop> loop;
+    std::unique_ptr<baobabswitch::mesh_node> node;
+    std::thread thread;
+};
+
+/// A small deployment in this process: nodes with their targets, a store and callers.
+class mesh_rig {
+public:
+    explicit mesh_rig(unsigned first_host);
+    ~mesh_rig();
+    mesh_rig(const mesh_rig&) = delete;
+    mesh_rig& operator=(const mesh_rig&) = delete;
+    mesh_rig(mesh_rig&&) = delete;
+    mesh_rig& operator=(mesh_rig&&) = delete;
+
+    /// Adds a VM: a target of a service, and its node. Returns its number.
+    std::size_t add(const std::string& service, const std::string& domain, unsigned slots);
+    void start_node(std::size_t n, bool first_start);
+    void kill_node(std::size_t n);
+    /// Starts the planned stop of a node.
+    void stop_node(std::size_t n);
+    std::uint64_t version_of(std::size_t n);
+    /// Sends the announcement that the target of a VM makes each heartbeat.
+    void announce(std::size_t n, std::uint64_t sequence, bool leaving = false,
+                  std::uint64_t started_ms = 1000);
+    void withdraw(std::size_t n);
+    /// Publishes routes: /read/ (idempotent) and /write/ (at most once) to "front", /back/ to "back".
+    void publish(std::uint64_t version, double timeout_s = 1.0);
+    /// Starts a request of a caller on a VM; the answer arrives while the loop runs.
+    std::shared_ptr<rig_answer> send(std::size_t n, const std::string& method, const std::string& path,
+                                     const std::string& id, unsigned deadline_ms = 3000);
+    void run_for(baobabswitch::milliseconds time);
+
+    baobabswitch::event_loop loop;
+    memory_objects store;
+    std::vector<std::unique_ptr<rig_target>> targets;
+    std::vector<rig_node> nodes;
+    std::vector<baobabswitch::mesh_settings> settings;
+    /// Answers to announcements that came with status 200.
+    unsigned acknowledged = 0;
+
+private:
+    void serve(rig_target& it, baobabswitch::http_request request,
+               const std::shared_ptr<baobabswitch::http_exchange>& exchange);
+
+    unsigned first_host_;
+    std::vector<unsigned> slots_;
+    baobabswitch::http_client client_;
+};
--- /dev/null
+++ b/tests/mesh/test_admissionlevel.cpp
@@ -0,0 +1,64 @@
+#include "admissionlevel.h"
+
+#include <catch2/catch.hpp>
+
+using namespace baobabswitch;
+using std::chrono::milliseconds;
+
+namespace {
+
+const moment start{std::chrono::hours{1}};
+
+} // namespace
+
+// Guards against a level that does not react to overload, or does not open again after it.
+TEST_CASE("the level falls under overload and opens when there is room") {
+    level_control it;
+    it.level = it.open = 3;
+    for (int n = 0; n < 20; ++n) {
+        update_level(it, 1.6, milliseconds{50});
+    }
+    CHECK(it.level < 2);
+    for (int n = 0; n < 200; ++n) {
+        update_level(it, 3, milliseconds{50});
+    }
+    CHECK(it.level > 0); // some requests pass, and their answers tell when there is room again
+    for (int n = 0; n < 100; ++n) {
+        update_level(it, 0.2, milliseconds{50});
+    }
+    CHECK(it.level == 3);
+}
+
+// Guards against requests that enter although a service that they call further down has no room.
+TEST_CASE("a route's level is the lowest among the services that it causes work at") {
+    admission_knowledge knowledge;
+    knowledge.open = 3;
+    CHECK(level_for_route(knowledge, "booking", start).level == 3);
+    observe_costs(knowledge, "booking", {{"desk", 140}, {"permits", 240}});
+    observe_costs(knowledge, "map", {{"depot", 120}});
+    observe_level(knowledge, "desk", {2.5, start});
+    observe_level(knowledge, "permits", {1.2, start});
+    const auto booking = level_for_route(knowledge, "booking", start);
+    CHECK(booking.level == Approx(1.2));
+    CHECK(booking.service == "permits");
+    CHECK(level_for_route(knowledge, "map", start).level == 3);
+}
+
+// Guards against a service that is closed for good, since refusing everything brings no new answers.
+TEST_CASE("a level without news rises") {
+    admission_knowledge knowledge;
+    knowledge.open = 3;
+    observe_costs(knowledge, "r", {{"s", 10}});
+    observe_level(knowledge, "s", {0.1, start});
+    CHECK(level_for_route(knowledge, "r", start + milliseconds{300}).level == Approx(0.1));
+    CHECK(level_for_route(knowledge, "r", start + milliseconds{1400}).level == Approx(1.1));
+    CHECK(level_for_route(knowledge, "r", start + std::chrono::seconds{9}).level == 3);
+}
+
+// Guards against delayed news that undo newer ones.
+TEST_CASE("older news of a level are passed over") {
+    admission_knowledge knowledge;
+    observe_level(knowledge, "s", {1, start});
+    observe_level(knowledge, "s", {3, start - milliseconds{500}});
+    CHECK(knowledge.levels.at("s").level == 1);
+}
--- /dev/null
+++ b/tests/mesh/test_day.cpp
@@ -0,0 +1,378 @@
+#include "meshrig.h"
+
+#include <catch2/catch.hpp>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace baobabswitch;
+
+namespace {
+
+/// Two targets of "front" in two domains and one of "back", announced and with a configuration.
+void set_up(mesh_rig& it, unsigned slots = 10) {
+    it.publish(1);
+    it.add("front", "east", slots);
+    it.add("front", "west", slots);
+    it.add("back", "east", slots);
+    it.run_for(milliseconds{30});
+    for (std::size_t n = 0; n < 3; ++n) {
+        it.announce(n, 1);
+    }
+    it.run_for(milliseconds{250});
+}
+
+int total_runs(const mesh_rig& it, const std::string& id) {
+    int n = 0;
+    for (const auto& target : it.targets) {
+        const auto found = target->runs.find(id);
+        n += found == target->runs.end() ? 0 : found->second;
+    }
+    return n;
+}
+
+/// Sends raw bytes to an address and returns the first line of the answer.
+std::string raw_exchange(mesh_rig& rig, const endpoint& peer, std::string_view bytes) {
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(peer.port);
+    ::inet_pton(AF_INET, peer.host.c_str(), &address.sin_addr);
+    REQUIRE(::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+    REQUIRE(::send(fd, bytes.data(), bytes.size(), 0) == static_cast<ssize_t>(bytes.size()));
+    rig.run_for(milliseconds{150});
+    char buf[512] = {};
+    const auto n = ::recv(fd, buf, sizeof buf - 1, MSG_DONTWAIT);
+    ::close(fd);
+    const std::string text{buf, n > 0 ? static_cast<std::size_t>(n) : 0};
+    return text.substr(0, text.find("\r\n"));
+}
+
+} // namespace
+
+// Guards against requests that are changed on the way, or that reach a target without the nodes' own fields.
+TEST_CASE("a request reaches a target unchanged and its answer comes back", "[day]") {
+    mesh_rig it{1};
+    set_up(it);
+    const auto answer = it.send(2, "GET", "/read/x?y=1", "r1");
+    it.run_for(milliseconds{200});
+    REQUIRE(answer->status == 200);
+    CHECK(answer->response.body == "answer of r1");
+    CHECK(header_or_empty(answer->response.headers, "X-Response-Signature") == "s-r1");
+    CHECK_FALSE(find_header(answer->response.headers, "Baobab-Hop"));
+    // The own failure domain serves it.
+    REQUIRE(it.targets[0]->seen.size() == 1);
+    const auto& seen = it.targets[0]->seen[0];
+    CHECK(seen.target == "/read/x?y=1");
+    CHECK(header_or_empty(seen.headers, "Host") == "h.example");
+    CHECK(header_or_empty(seen.headers, "X-Caller-Service") == "back");
+    CHECK(parse_number(header_or_empty(seen.headers, "X-Deadline-Ms")).value_or(9999) <= 1000);
+    const auto unknown = it.send(2, "GET", "/none/", "r2");
+    it.run_for(milliseconds{100});
+    CHECK(unknown->status == 404);
+}
+
+// Guards against a target that gets more calls than it has slots for, and against "not run" for one that ran.
+TEST_CASE("under overload the target stays within its slots and refusals are true", "[day]") {
+    mesh_rig it{2};
+    set_up(it, 4);
+    for (auto& target : it.targets) {
+        target->work = milliseconds{100};
+    }
+    std::vector<std::pair<std::string, std::shared_ptr<rig_answer>>> answers;
+    for (int n = 0; n < 60; ++n) {
+        const auto id = "q" + std::to_string(n);
+        answers.emplace_back(id, it.send(static_cast<std::size_t>(n) % 3, "POST", "/write/x", id));
+    }
+    it.run_for(milliseconds{1500});
+    unsigned served = 0;
+    unsigned refused = 0;
+    for (const auto& [id, answer] : answers) {
+        if (answer->status == 200) {
+            ++served;
+            CHECK(total_runs(it, id) == 1);
+        } else {
+            CHECK(answer->status == 503);
+            CHECK(total_runs(it, id) == 0);
+            const std::string after{header_or_empty(answer->response.headers, "Retry-After")};
+            CHECK(std::stod(after) <= 1.0);
+            // A refusal comes within an eighth of the latency objective; the rest is for a busy machine.
+            CHECK(answer->after_ms < 400);
+            ++refused;
+        }
+    }
+    CHECK(served >= 6);
+    CHECK(refused >= 1);
+    CHECK(it.targets[0]->most_running <= 4);
+    CHECK(it.targets[1]->most_running <= 4);
+}
+
+// Guards against a second run of a request that may not be repeated, and against a repeat that is not made
+// for one that may.
+TEST_CASE("only idempotent requests are sent again after their connection broke", "[day]") {
+    mesh_rig it{3};
+    set_up(it);
+    it.targets[0]->behaviour = [&](const http_request& request,
+                                   const std::shared_ptr<http_exchange>& exchange) {
+        ++it.targets[0]->runs[std::string{header_or_empty(request.headers, "X-Request-Id")}];
+        exchange->respond({200, {{"X-Request-Id", "another"}, {"Connection", "close"}}, "foreign"});
+        return true;
+    };
+    const auto write = it.send(0, "POST", "/write/x", "w1");
+    it.run_for(milliseconds{300});
+    const auto read = it.send(0, "GET", "/read/x", "g1");
+    it.run_for(milliseconds{300});
+    CHECK(write->status == 502);
+    CHECK(total_runs(it, "w1") == 1);
+    CHECK(read->status == 200);
+    CHECK(it.targets[1]->runs["g1"] == 1);
+}
+
+// Guards against an answer to another request that is handed to a caller.
+TEST_CASE("an extra answer on a connection is passed over", "[day]") {
+    mesh_rig it{4};
+    set_up(it);
+    it.targets[0]->behaviour = [](const http_request& request,
+                                  const std::shared_ptr<http_exchange>& exchange) {
+        const std::string id{header_or_empty(request.headers, "X-Request-Id")};
+        exchange->respond({200, {{"X-Request-Id", id}}, "unsigned"});
+        return true;
+    };
+    const auto unsigned_answer = it.send(0, "POST", "/write/x", "w1");
+    it.run_for(milliseconds{200});
+    CHECK(unsigned_answer->status == 502);
+}
+
+// Guards against new calls to a target that said that it leaves.
+TEST_CASE("a leaving target gets no new calls, and its leaving is stored before it is acknowledged",
+          "[day]") {
+    mesh_rig it{5};
+    set_up(it);
+    it.acknowledged = 0;
+    it.announce(0, 2, true);
+    it.run_for(milliseconds{100});
+    CHECK(it.acknowledged == 1);
+    CHECK(it.store.content("targets", "n0").find("\"leaving\":true") != std::string::npos);
+    // A delayed announcement of the same start changes nothing.
+    it.announce(0, 1);
+    it.announce(0, 3);
+    const auto answer = it.send(0, "GET", "/read/x", "r1");
+    it.run_for(milliseconds{200});
+    CHECK(answer->status == 200);
+    CHECK(it.targets[0]->runs.empty());
+    CHECK(it.targets[1]->runs.size() == 1);
+}
+
+// Guards against a withdrawal without notice that is not honoured.
+TEST_CASE("a withdrawn target gets no new calls", "[day]") {
+    mesh_rig it{6};
+    set_up(it);
+    it.withdraw(0);
+    it.run_for(milliseconds{50});
+    const auto answer = it.send(0, "GET", "/read/x", "r1");
+    it.run_for(milliseconds{200});
+    CHECK(answer->status == 200);
+    CHECK(it.targets[0]->runs.empty());
+}
+
+// Guards against a restarted node that brings back a target that left before, by a delayed announcement.
+TEST_CASE("a restarted node keeps a target that left out of use", "[day]") {
+    mesh_rig it{7};
+    set_up(it);
+    it.announce(0, 2, true);
+    it.run_for(milliseconds{100});
+    it.kill_node(0);
+    it.run_for(milliseconds{50});
+    it.start_node(0, false);
+    it.run_for(milliseconds{100});
+    it.announce(0, 1);
+    it.run_for(milliseconds{400});
+    const auto answer = it.send(0, "GET", "/read/x", "r1");
+    it.run_for(milliseconds{200});
+    CHECK(answer->status == 200);
+    CHECK(it.targets[0]->runs.empty());
+    // A new start of the target is used again.
+    it.announce(0, 1, false, 5000);
+    it.run_for(milliseconds{400});
+    const auto second = it.send(0, "GET", "/read/x", "r2");
+    it.run_for(milliseconds{200});
+    CHECK(second->status == 200);
+    CHECK(it.targets[0]->runs.size() == 1);
+}
+
+// Guards against a restarted node that leaves its target idle until the next announcement.
+TEST_CASE("a restarted node takes its healthy target back into use without an announcement", "[day]") {
+    mesh_rig it{8};
+    set_up(it);
+    it.kill_node(0);
+    it.run_for(milliseconds{50});
+    it.start_node(0, false);
+    it.run_for(milliseconds{300});
+    const auto answer = it.send(0, "GET", "/read/x", "r1");
+    it.run_for(milliseconds{200});
+    CHECK(answer->status == 200);
+    CHECK(it.targets[0]->runs.size() == 1);
+}
+
+// Guards against a node that takes its target back although it is unhealthy or another one.
+TEST_CASE("a restarted node does not use a target that its health check does not confirm", "[day]") {
+    mesh_rig it{9};
+    set_up(it);
+    it.kill_node(0);
+    it.targets[0]->healthy = false;
+    it.run_for(milliseconds{50});
+    it.start_node(0, false);
+    it.run_for(milliseconds{300});
+    const auto answer = it.send(0, "GET", "/read/x", "r1");
+    it.run_for(milliseconds{200});
+    CHECK(answer->status == 200);
+    CHECK(it.targets[0]->runs.empty());
+}
+
+// Guards against requests that are lost when a node stops as planned.
+TEST_CASE("a stopping node finishes what it took and lets others serve the rest", "[day]") {
+    mesh_rig it{10};
+    set_up(it);
+    it.targets[0]->work = milliseconds{300};
+    const auto before = it.send(0, "POST", "/write/x", "w1");
+    it.run_for(milliseconds{50});
+    it.stop_node(0);
+    const auto during = it.send(2, "POST", "/write/x", "w2");
+    it.run_for(milliseconds{1950});
+    it.targets[0]->work = milliseconds{20};
+    const auto after = it.send(2, "POST", "/write/x", "w3");
+    it.run_for(milliseconds{300});
+    CHECK(before->status == 200);
+    CHECK(during->status == 200);
+    CHECK(after->status == 200);
+    CHECK(header_or_empty(before->response.headers, "Connection") == "close");
+    CHECK(it.targets[0]->runs.count("w3") == 0);
+}
+
+// Guards against a node without a configuration that denies a request for good.
+TEST_CASE("a node that knows no configuration answers 503, never 404", "[day]") {
+    mesh_rig it{11};
+    it.store.set_away(true);
+    it.add("front", "east", 10);
+    it.run_for(milliseconds{50});
+    const auto answer = it.send(0, "GET", "/read/x", "r1");
+    it.run_for(milliseconds{100});
+    CHECK(answer->status == 503);
+}
+
+// Guards against a node that stays without a configuration while the store is away and others have one.
+TEST_CASE("a restarted node learns from its peers while the store is away", "[day]") {
+    mesh_rig it{12};
+    set_up(it);
+    it.store.set_away(true);
+    it.kill_node(2);
+    it.run_for(milliseconds{50});
+    it.start_node(2, false);
+    it.announce(2, 2);
+    it.run_for(milliseconds{100});
+    const auto probe = it.send(0, "GET", "/back/x", "r1");
+    it.run_for(milliseconds{300});
+    const auto answer = it.send(2, "GET", "/read/x", "r2");
+    it.run_for(milliseconds{300});
+    CHECK(probe->status == 503); // its only target is not confirmed yet
+    CHECK(answer->status == 200);
+}
+
+// Guards against a node that goes back to an older version.
+TEST_CASE("a newer configuration comes into force and an older one never does", "[day]") {
+    mesh_rig it{13};
+    set_up(it);
+    it.publish(5);
+    it.run_for(milliseconds{200});
+    for (std::size_t n = 0; n < 3; ++n) {
+        CHECK(it.version_of(n) == 5);
+    }
+    it.publish(4);
+    it.run_for(milliseconds{200});
+    for (std::size_t n = 0; n < 3; ++n) {
+        CHECK(it.version_of(n) == 5);
+    }
+}
+
+// Guards against a request that waits past its route's timeout.
+TEST_CASE("the route's timeout is answered on time", "[day]") {
+    mesh_rig it{14};
+    set_up(it);
+    for (auto& target : it.targets) {
+        target->work = milliseconds{2500};
+    }
+    const auto read = it.send(0, "GET", "/read/x", "r1");
+    const auto write = it.send(0, "POST", "/write/x", "w1");
+    it.run_for(milliseconds{1600});
+    CHECK(read->status == 504);
+    CHECK(write->status == 504);
+    CHECK(read->after_ms < 1250);
+    CHECK(total_runs(it, "w1") == 1);
+}
+
+// Guards against requests hidden inside another one, and against ambiguous messages that reach a target.
+TEST_CASE("ambiguous requests are refused", "[day]") {
+    mesh_rig it{15};
+    set_up(it);
+    const auto& address = it.settings[0].listen.outbound;
+    const std::vector<std::string> messages{
+        "POST /write/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: s1\r\nContent-Length: "
+        "3\r\nContent-Length: 5\r\n\r\nabcde",
+        "POST /write/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: s2\r\nContent-Length: "
+        "3\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n0\r\n\r\n",
+        "GET /read/x HTTP/1.1\r\nHost: h.example\r\nHost: other.example\r\nX-Request-Id: s3\r\n\r\n",
+        "GET /read/x HTTP/1.1\nHost: h.example\nX-Request-Id: s4\n\n",
+        "GET /read/x HTTP/1.1\r\nX-Request-Id: s5\r\n\r\n",
+        "GET /read/x HTTP/1.1\r\nHost: h.example\r\n\r\n",
+        "GET http://h.example/read/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: s6\r\n\r\n",
+        "POST /write/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: s7\r\nTransfer-Encoding: "
+        "chunked\r\n\r\nzz\r\n\r\n",
+    };
+    for (const auto& message : messages) {
+        INFO(message);
+        const auto line = raw_exchange(it, address, message);
+        CHECK(line.starts_with("HTTP/1.1 400"));
+    }
+    for (const auto& target : it.targets) {
+        CHECK(target->runs.empty());
+    }
+}
+
+// Guards against a caller that sets the fields of nodes to reach a target around the gate.
+TEST_CASE("fields that only nodes set are ignored from callers", "[day]") {
+    mesh_rig it{16};
+    set_up(it);
+    const auto line =
+        raw_exchange(it, it.settings[0].listen.outbound,
+                     "GET /read/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: p1\r\nX-Deadline-Ms: 900\r\n"
+                     "X-Caller-Service: spoofed\r\nX-Target-Instance: nobody\r\nBaobab-Hop: {}\r\n\r\n");
+    CHECK(line.starts_with("HTTP/1.1 200"));
+    REQUIRE(it.targets[0]->seen.size() == 1);
+    CHECK(header_or_empty(it.targets[0]->seen[0].headers, "X-Caller-Service") == "front");
+    CHECK_FALSE(find_header(it.targets[0]->seen[0].headers, "Baobab-Hop"));
+}
+
+// Guards against work that goes on for a caller that has left.
+TEST_CASE("an idempotent request ends when its caller leaves, another one goes on", "[day]") {
+    mesh_rig it{17};
+    set_up(it);
+    bool read_dropped = false;
+    bool write_dropped = false;
+    it.targets[0]->behaviour = [&](const http_request& request,
+                                   const std::shared_ptr<http_exchange>& exchange) {
+        auto& dropped = request.method == "GET" ? read_dropped : write_dropped;
+        exchange->on_abandoned([&dropped] { dropped = true; });
+        ++it.targets[0]->runs[std::string{header_or_empty(request.headers, "X-Request-Id")}];
+        it.loop.schedule(milliseconds{700}, [exchange] { exchange->respond({200, {}, {}}); });
+        return true;
+    };
+    it.send(0, "GET", "/read/x", "r1", 150);
+    it.send(0, "POST", "/write/x", "w1", 150);
+    it.run_for(milliseconds{130});
+    CHECK(it.targets[0]->runs.size() == 2);
+    it.run_for(milliseconds{300});
+    CHECK(read_dropped);
+    CHECK_FALSE(write_dropped);
+}
--- /dev/null
+++ b/tests/mesh/test_retrybudget.cpp
@@ -0,0 +1,59 @@
+#include "retrybudget.h"
+
+#include "seed.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <random>
+
+using namespace baobabswitch;
+using std::chrono::milliseconds;
+
+// Guards against repeats of all nodes together that exceed the bound in some sliding window.
+TEST_CASE("the nodes' shares together keep the bound in every window") {
+    std::mt19937_64 random{first_seed()};
+    constexpr int nodes = 16;
+    constexpr double slack = 49;
+    const auto window = std::chrono::seconds{10};
+    std::vector<retry_budget> budgets(nodes);
+    for (auto& it : budgets) {
+        it.bounds = {0.2, slack, window};
+        it.nodes = nodes;
+    }
+    moment now{std::chrono::hours{1}};
+    std::deque<moment> first;
+    std::deque<moment> repeated;
+    for (int n = 0; n < 60000; ++n) {
+        // Load swings by a factor of ten, so that old first calls leave the window while new ones are few.
+        now += milliseconds{(n / 10000) % 2 == 0 ? 1 : 10};
+        auto& budget = budgets[random() % nodes];
+        count_first(budget, "s", now);
+        first.push_back(now);
+        while (random() % 2 == 0 && may_repeat(budget, "s", now)) {
+            count_repeat(budget, "s", now);
+            repeated.push_back(now);
+        }
+        while (first.front() + window < now) {
+            first.pop_front();
+        }
+        while (!repeated.empty() && repeated.front() + window < now) {
+            repeated.pop_front();
+        }
+        REQUIRE(static_cast<double>(repeated.size()) <= 0.2 * static_cast<double>(first.size()) + slack);
+    }
+    CHECK(!repeated.empty());
+}
+
+// Guards against a budget that stays spent after the window has passed.
+TEST_CASE("repeats leave the window") {
+    retry_budget budget;
+    budget.bounds = {0.2, 10, std::chrono::seconds{10}};
+    const moment start{std::chrono::hours{1}};
+    while (may_repeat(budget, "s", start)) {
+        count_repeat(budget, "s", start);
+    }
+    CHECK_FALSE(may_repeat(budget, "s", start + std::chrono::seconds{8}));
+    CHECK(may_repeat(budget, "s", start + std::chrono::seconds{11}));
+    CHECK(may_repeat(budget, "other", start));
+}
--- /dev/null
+++ b/tests/mesh/test_targetdirectory.cpp
@@ -0,0 +1,105 @@
+#include "targetdirectory.h"
+
+#include <catch2/catch.hpp>
+
+using namespace baobabswitch;
+using std::chrono::milliseconds;
+
+namespace {
+
+target_entry entry(std::string node, std::string domain, std::uint64_t started_ms = 100) {
+    target_entry it;
+    it.node = std::move(node);
+    it.domain = std::move(domain);
+    it.service = "front";
+    it.instance = it.node + "-1";
+    it.slots = 10;
+    it.accepting = true;
+    it.started_ms = started_ms;
+    return it;
+}
+
+std::string chosen(target_table& table, moment now, std::vector<std::string> excluded = {}) {
+    const auto* it = choose_target(table, {"front", "east", excluded, now, 0});
+    return it == nullptr ? "" : it->entry.node;
+}
+
+const moment start{std::chrono::hours{1}};
+
+} // namespace
+
+// Guards against traffic between failure domains while the own one has room, and against queueing in the own
+// one while another is idle.
+TEST_CASE("the own failure domain is preferred until it is clearly busier") {
+    target_table table;
+    update_target(table, entry("near", "east"));
+    update_target(table, entry("far", "west"));
+    CHECK(chosen(table, start) == "near");
+    record_report(table.by_node.at("near"), {9, 0, 10, 1}, start);
+    CHECK(chosen(table, start) == "far");
+    record_report(table.by_node.at("far"), {10, 5, 10, 1}, start);
+    CHECK(chosen(table, start) == "near");
+}
+
+// Guards against calls to a target that is slow at the moment although another is not.
+TEST_CASE("a slow target is avoided") {
+    target_table table;
+    update_target(table, entry("near", "east"));
+    update_target(table, entry("other", "east"));
+    record_report(table.by_node.at("near"), {3, 0, 10, 6}, start);
+    record_report(table.by_node.at("other"), {4, 0, 10, 1}, start);
+    CHECK(chosen(table, start) == "other");
+}
+
+// Guards against sending to a node that does not answer while others do, and against never trying it again.
+TEST_CASE("an unreachable target is avoided for a bounded time") {
+    target_table table;
+    update_target(table, entry("near", "east"));
+    update_target(table, entry("far", "west"));
+    for (int n = 0; n < 20; ++n) {
+        record_unavailable(table.by_node.at("near"), start);
+    }
+    CHECK(chosen(table, start) == "far");
+    CHECK(chosen(table, start, {"far"}) == "near");
+    CHECK(chosen(table, start + milliseconds{1700}) == "near");
+    record_available(table.by_node.at("near"));
+    CHECK(table.by_node.at("near").consecutive_failures == 0);
+}
+
+// Guards against calls to a target that left, and to one that was tried.
+TEST_CASE("only accepting targets of the service that were not tried are chosen") {
+    target_table table;
+    auto leaving = entry("near", "east");
+    leaving.accepting = false;
+    update_target(table, leaving);
+    update_target(table, entry("far", "west"));
+    CHECK(chosen(table, start) == "far");
+    CHECK(chosen(table, start, {"far"}).empty());
+}
+
+// Guards against a delayed entry that brings back an earlier state of a target.
+TEST_CASE("an older entry never replaces a newer one") {
+    target_table table;
+    auto newer = entry("near", "east", 200);
+    newer.revision = 7;
+    newer.accepting = false;
+    CHECK(update_target(table, newer));
+    auto older = entry("near", "east", 100);
+    older.revision = 5;
+    CHECK_FALSE(update_target(table, older));
+    older.revision = 0; // from a peer that knows no revision
+    CHECK_FALSE(update_target(table, older));
+    CHECK(table.by_node.at("near").entry.started_ms == 200);
+}
+
+// Guards against a target that is avoided for ever since its last report showed it full.
+TEST_CASE("a report loses its weight with age") {
+    target_table table;
+    update_target(table, entry("near", "east"));
+    auto& it = table.by_node.at("near");
+    record_report(it, {10, 10, 10, 1}, start);
+    CHECK(expected_load(it, start) == Approx(2.0));
+    CHECK(expected_load(it, start + milliseconds{1500}) == Approx(0.0));
+    it.in_flight = 5;
+    CHECK(expected_load(it, start + milliseconds{1500}) == Approx(0.5));
+}
--- /dev/null
+++ b/tests/mesh/test_targetgate.cpp
@@ -0,0 +1,112 @@
+#include "targetgate.h"
+
+#include "seed.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+#include <set>
+
+using namespace baobabswitch;
+using std::chrono::milliseconds;
+
+namespace {
+
+const moment start{std::chrono::hours{1}};
+
+slot_request ask(run_id id, bool nested, milliseconds left = milliseconds{1000},
+                 milliseconds objective = milliseconds{400}) {
+    return {id, "r", nested, 1.5, left, objective};
+}
+
+target_gate gate_with(unsigned slots) {
+    target_gate it;
+    it.slots = slots;
+    it.service_ms["r"] = 50;
+    return it;
+}
+
+} // namespace
+
+// Guards against handing a target more calls than it has slots for.
+TEST_CASE("no more calls than the usable slots run at a time") {
+    auto gate = gate_with(10);
+    for (run_id id = 1; id <= 9; ++id) {
+        CHECK(request_slot(gate, ask(id, true), start) == slot_decision::start);
+    }
+    CHECK(usable_slots(gate) == 9);
+    CHECK(request_slot(gate, ask(10, true), start) == slot_decision::wait);
+    release_slot(gate, "r", milliseconds{50});
+    CHECK(start_waiting(gate, start) == std::vector<run_id>{10});
+    CHECK(gate.running == 9);
+}
+
+// Guards against a new request that waits past an eighth of its objective and is refused late.
+TEST_CASE("a new request that would wait long is refused at once, a nested call waits") {
+    auto gate = gate_with(2);
+    REQUIRE(request_slot(gate, ask(1, true), start) == slot_decision::start);
+    CHECK(request_slot(gate, ask(2, false, milliseconds{1000}, milliseconds{200}), start) ==
+          slot_decision::refuse);
+    CHECK(request_slot(gate, ask(3, true), start) == slot_decision::wait);
+    CHECK(gate.waiting.front().request.id == 3);
+}
+
+// Guards against a call that starts although its caller's time is nearly over.
+TEST_CASE("a queued call that can no longer finish is taken out") {
+    auto gate = gate_with(1);
+    REQUIRE(request_slot(gate, ask(1, true), start) == slot_decision::start);
+    REQUIRE(request_slot(gate, ask(2, true, milliseconds{200}), start) == slot_decision::wait);
+    CHECK(request_slot(gate, ask(3, true, milliseconds{20}), start) == slot_decision::refuse);
+    CHECK(expire_waiting(gate, start + milliseconds{100}).empty());
+    CHECK(expire_waiting(gate, start + milliseconds{190}) == std::vector<run_id>{2});
+}
+
+// Guards against short-lived requests that wait behind calls that have plenty of time.
+TEST_CASE("a call with a short objective goes before one with a long objective") {
+    auto gate = gate_with(1);
+    REQUIRE(request_slot(gate, ask(1, true), start) == slot_decision::start);
+    request_slot(gate, ask(2, true, milliseconds{1000}, milliseconds{800}), start);
+    request_slot(gate, ask(3, true, milliseconds{1000}, milliseconds{150}), start + milliseconds{1});
+    release_slot(gate, "r", milliseconds{50});
+    CHECK(start_waiting(gate, start + milliseconds{2}) == std::vector<run_id>{3});
+}
+
+// Guards against slots that leak or calls that start twice in some order of events.
+TEST_CASE("slots are neither lost nor given twice in random schedules") {
+    std::mt19937_64 random{first_seed()};
+    auto gate = gate_with(8);
+    std::set<run_id> running;
+    std::set<run_id> waiting;
+    auto now = start;
+    for (run_id id = 1; id < 20000; ++id) {
+        now += milliseconds{random() % 12};
+        switch (request_slot(gate, ask(id, random() % 2 == 0, milliseconds{random() % 300}), now)) {
+        case slot_decision::start:
+            CHECK(running.insert(id).second);
+            break;
+        case slot_decision::wait:
+            CHECK(waiting.insert(id).second);
+            break;
+        case slot_decision::refuse:
+            break;
+        }
+        if (!running.empty() && random() % 3 != 0) {
+            running.erase(running.begin());
+            release_slot(gate, "r", milliseconds{random() % 80});
+        }
+        for (const auto gone : expire_waiting(gate, now)) {
+            CHECK(waiting.erase(gone) == 1);
+        }
+        for (const auto started : start_waiting(gate, now)) {
+            CHECK(waiting.erase(started) == 1);
+            CHECK(running.insert(started).second);
+        }
+        if (!waiting.empty() && random() % 20 == 0) {
+            CHECK(remove_waiting(gate, *waiting.begin()));
+            waiting.erase(waiting.begin());
+        }
+        REQUIRE(gate.running == running.size());
+        REQUIRE(gate.waiting.size() == waiting.size());
+        REQUIRE(gate.running <= usable_slots(gate));
+    }
+}
