Tell a request that never left its node that it has not run

Change: a timeout takes back an attempt that was not sent and answers 503. Test: a listener with a full queue; failed before with 504.

--- a/src/libmesh/localruns.cpp
+++ b/src/libmesh/localruns.cpp
@@ -238,17 +238,22 @@
     return id;
 }
 
-void cancel_local_run(mesh_state& state, run_id id) {
+bool withdraw_local_run(mesh_state& state, run_id id) {
     const auto found = state.runs.find(id);
-    if (found == state.runs.end()) {
-        return;
+    if (found == state.runs.end() || found->second.exchange) {
+        return false;
     }
-    if (!found->second.exchange) {
-        remove_waiting(state.gate, id);
-        refuse_run(state, id, "caller-gone");
+    remove_waiting(state.gate, id);
+    refuse_run(state, id, "caller-gone");
+    return true;
+}
+
+void cancel_local_run(mesh_state& state, run_id id) {
+    if (withdraw_local_run(state, id)) {
         return;
     }
-    if (found->second.info.idempotent) {
+    const auto found = state.runs.find(id);
+    if (found != state.runs.end() && found->second.info.idempotent) {
         state.target_client->cancel(*found->second.exchange);
     }
 }
--- a/src/libmesh/outboundcalls.cpp
+++ b/src/libmesh/outboundcalls.cpp
@@ -293,13 +293,22 @@
     }
 }
 
+/// Ends an attempt that did not leave this node yet. Returns whether it was so: then it never runs.
+bool withdraw_hop(mesh_state& state, const outbound_call& call) {
+    if (call.hop_run) {
+        return withdraw_local_run(state, *call.hop_run);
+    }
+    return call.hop_exchange && state.peer_client->cancel_if_unsent(*call.hop_exchange);
+}
+
 void on_timeout(mesh_state& state, outbound_id id) {
     const auto found = state.calls.find(id);
     if (found == state.calls.end() || found->second.answered) {
         return;
     }
     auto& call = found->second;
-    answer_own(state, call, 504, "timeout");
+    const bool never_runs = withdraw_hop(state, call) && !call.may_have_run;
+    answer_own(state, call, never_runs ? 503 : 504, "timeout");
     if (route_of(call).repeat == repeatability::idempotent) {
         cancel_hop(state, call);
     }
--- a/tests/mesh/test_day.cpp
+++ b/tests/mesh/test_day.cpp
@@ -311,6 +311,40 @@
     CHECK(total_runs(it, "w1") == 1);
 }
 
+// Guards against "may have run" for a request that never left the node: callers can't repeat it then.
+TEST_CASE("a request that waits for a connection until its timeout is told not to have run", "[day]") {
+    mesh_rig it{18};
+    it.publish(1, 0.2);
+    it.add("back", "east", 10);
+    // A listener whose queue is full: connecting to it hangs.
+    const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    ::inet_pton(AF_INET, "127.77.18.99", &address.sin_addr);
+    socklen_t size = sizeof address;
+    REQUIRE(::bind(listener, reinterpret_cast<const sockaddr*>(&address), size) == 0);
+    REQUIRE(::listen(listener, 0) == 0);
+    REQUIRE(::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+    std::vector<int> fillers;
+    for (int n = 0; n < 4; ++n) {
+        fillers.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+        (void)::connect(fillers.back(), reinterpret_cast<const sockaddr*>(&address), size);
+    }
+    it.store.put("targets", "nx",
+                 R"({"peer":"127.77.18.99:)" + std::to_string(ntohs(address.sin_port)) +
+                     R"(","domain":"east","service":"front","instance":"tx","slots":5,"accepting":true,)"
+                     R"("leaving":false,"started_ms":1})");
+    it.run_for(milliseconds{100});
+    const auto answer = it.send(0, "POST", "/write/x", "w1");
+    it.run_for(milliseconds{600});
+    CHECK(answer->status == 503);
+    CHECK(answer->after_ms < 450);
+    for (const int fd : fillers) {
+        ::close(fd);
+    }
+    ::close(listener);
+}
+
 // Guards against requests hidden inside another one, and against ambiguous messages that reach a target.
 TEST_CASE("ambiguous requests are refused", "[day]") {
     mesh_rig it{15};
