Check the mesh node's guarantees while it runs

At most once, true refusals, bounded repeats, whole answers, leaving targets and configurations that never go back are invariants now, logged and exported when violated; the tests require none.

--- a/src/libmesh/localruns.cpp
+++ b/src/libmesh/localruns.cpp
@@ -165,6 +165,7 @@
         refuse_run(state, id, right_target ? "expired" : "target-leaving");
         return;
     }
+    check(state.invariants, invariant::leaving_refuses, !state.target.leaving, run.request_id);
     const auto& names = state.port.headers;
     run.handed_over = now;
     auto request = std::move(run.request);
--- a/src/libmesh/meshnode.cpp
+++ b/src/libmesh/meshnode.cpp
@@ -232,6 +232,7 @@
     it.set_gauge("config_version", static_cast<double>(config_version(state_)));
     it.set_gauge("targets", static_cast<double>(state_.targets.by_node.size()));
     it.set_gauge("calls_in_flight", static_cast<double>(state_.calls.size()));
+    it.set_gauge("invariant_violations", static_cast<double>(violations(state_.invariants)));
     it.set_gauge("store_connected", directory_.is_connected() ? 1 : 0);
 }
 
--- a/src/libmesh/meshstate.cpp
+++ b/src/libmesh/meshstate.cpp
@@ -41,6 +41,9 @@
       peer_client(std::make_unique<http_client>(l, peer_options(settings, port))),
       target_client(std::make_unique<http_client>(l, target_options(settings, port))) {
     budget.bounds = settings.retries;
+    invariants.on_violation = [this](invariant which, std::string_view detail) {
+        log.write_always("invariant-violated", {{"invariant", invariant_name(which)}, {"detail", detail}});
+    };
 }
 
 double uniform(mesh_state& state) {
@@ -66,6 +69,7 @@
     it->config = std::move(decoded.value());
     it->table = route_table{it->config};
     it->document = std::move(document);
+    check(state.invariants, invariant::config_monotonic, it->config.version > previous, source);
     state.config = it;
     const double open = open_level(it->config);
     if (state.level.level >= state.level.open) {
--- a/src/libmesh/meshstate.h
+++ b/src/libmesh/meshstate.h
@@ -6,6 +6,7 @@
 #include "hopprotocol.h"
 #include "httpclient.h"
 #include "httpserver.h"
+#include "invariants.h"
 #include "meshmetrics.h"
 #include "platformport.h"
 #include "retrybudget.h"
@@ -95,6 +96,7 @@
     platform_port port;
     decision_log log;
     mesh_metrics metrics;
+    invariant_table invariants;
     std::mt19937_64 random;
 
     std::shared_ptr<const active_config> config; ///< null until one is known
--- a/src/libmesh/outboundcalls.cpp
+++ b/src/libmesh/outboundcalls.cpp
@@ -79,6 +79,7 @@
         return;
     }
     const auto now = boot_clock::now();
+    check(state.invariants, invariant::honest_not_run, status != 503 || !call.may_have_run, call.request_id);
     http_response response = json_response(status, json{{"error", reason}}.dump());
     response.headers.emplace_back(state.port.headers.request_id, call.request_id);
     if (status == 503) {
@@ -187,6 +188,9 @@
         on_attempt_failed(state, id, it);
         return;
     }
+    const auto id_told = find_header(it.response.headers, state.port.headers.request_id);
+    check(state.invariants, invariant::whole_answer, !id_told || *id_told == call.request_id,
+          call.request_id);
     answer(state, call, std::move(it.response), "");
     end_call(state, id);
 }
@@ -262,6 +266,11 @@
                                                     {"node", target->entry.node},
                                                     {"targets_reached", call.targets_reached}});
     }
+    const auto& rule = route_of(call);
+    check(state.invariants, invariant::at_most_once,
+          rule.repeat == repeatability::idempotent || !call.may_have_run, call.request_id);
+    check(state.invariants, invariant::retry_bound, call.targets_reached < std::max(1U, rule.max_targets),
+          call.request_id);
     count_arrival(state, call, now);
     call.tried.push_back(target->entry.node);
     call.hop_node = target->entry.node;
--- a/tests/mesh/meshrig.cpp
+++ b/tests/mesh/meshrig.cpp
@@ -218,6 +218,7 @@
     }
     it.loop->stop();
     it.thread.join();
+    CHECK(violations(it.node->state().invariants) == 0);
     {
         const std::lock_guard lock{store.mutex};
         std::erase_if(store.watches, [&](const auto& watch) { return watch.loop == it.loop.get(); });
