Let the admission level follow a surge at once and return with its end

Cause: the level only integrated the overload. Change: an immediate part proportional to the overload, less integration.

--- a/src/libmesh/admissionlevel.cpp
+++ b/src/libmesh/admissionlevel.cpp
@@ -8,8 +8,11 @@
 
 /// Utilization that the level settles at: high enough to waste little, low enough that calls seldom queue.
 constexpr double wanted_utilization = 0.88;
-/// Change of the level a second for each unit of utilization off the wanted one.
-constexpr double fall_gain = 2.5;
+/// Change of the level for each unit of utilization off the wanted one: at once, and a second. The immediate
+/// part ends with the queue, so the level does not stay low while calls that were admitted before still
+/// finish.
+constexpr double immediate_gain = 1.0;
+constexpr double fall_gain = 1.0;
 constexpr double rise_gain = 1.5;
 /// Time constant of the smoothed utilization.
 constexpr double smoothing_ms = 100;
@@ -31,7 +34,8 @@
     it.smoothed += std::min(1.0, ms / smoothing_ms) * (utilization - it.smoothed);
     const double error = wanted_utilization - it.smoothed;
     const double gain = error < 0 ? fall_gain : rise_gain;
-    it.level = std::clamp(it.level + gain * error * ms / 1000, least_level, it.open);
+    it.sustained = std::clamp(it.sustained + gain * error * ms / 1000, least_level, it.open);
+    it.level = std::clamp(it.sustained + immediate_gain * error, least_level, it.open);
 }
 
 void observe_level(admission_knowledge& knowledge, std::string_view service, observed_level seen) {
--- a/src/libmesh/admissionlevel.h
+++ b/src/libmesh/admissionlevel.h
@@ -11,9 +11,10 @@
 /// Admission level of one target. A request with a position (rank plus a random part) below the level is
 /// admitted at entry; the level falls while the target is busier than wanted and rises while it has room.
 struct level_control {
-    double level = 1;    ///< in [least_level, open]
-    double open = 1;     ///< level at which everything is admitted
-    double smoothed = 0; ///< utilization
+    double level = 1;     ///< in [least_level, open]
+    double open = 1;      ///< level at which everything is admitted
+    double smoothed = 0;  ///< utilization
+    double sustained = 1; ///< the part of the level that follows lasting overload
 };
 
 /// Moves the level after `elapsed` with the given utilization (calls running and waiting over usable slots).
--- a/src/libmesh/meshnode.cpp
+++ b/src/libmesh/meshnode.cpp
@@ -247,9 +247,23 @@
     if (++ticks_ % ticks_per_second == 0) {
         state_.log.report_suppressed();
         update_gauges();
+        log_level();
     }
 }
 
+void mesh_node::log_level() {
+    if (state_.level.level >= state_.level.open) {
+        return;
+    }
+    state_.log.write("admission-level", {{"level", state_.level.level},
+                                         {"open", state_.level.open},
+                                         {"utilization", state_.level.smoothed},
+                                         {"running", state_.gate.running},
+                                         {"waiting", state_.gate.waiting.size()},
+                                         {"slots", state_.gate.slots},
+                                         {"slowness", state_.gate.slowness}});
+}
+
 void mesh_node::reload(const mesh_settings& changed) {
     state_.settings.retries = changed.retries;
     state_.budget.bounds = changed.retries;
--- a/src/libmesh/meshstate.cpp
+++ b/src/libmesh/meshstate.cpp
@@ -72,7 +72,8 @@
     check(state.invariants, invariant::config_monotonic, it->config.version > previous, source);
     state.config = it;
     const double open = open_level(it->config);
-    if (state.level.level >= state.level.open) {
+    if (state.level.sustained >= state.level.open) {
+        state.level.sustained = open;
         state.level.level = open;
     }
     state.level.open = open;
--- a/tests/mesh/test_admissionlevel.cpp
+++ b/tests/mesh/test_admissionlevel.cpp
@@ -14,7 +14,7 @@
 // Guards against a level that does not react to overload, or does not open again after it.
 TEST_CASE("the level falls under overload and opens when there is room") {
     level_control it;
-    it.level = it.open = 3;
+    it.level = it.sustained = it.open = 3;
     for (int n = 0; n < 20; ++n) {
         update_level(it, 1.6, milliseconds{50});
     }
@@ -29,6 +29,22 @@
     CHECK(it.level == 3);
 }
 
+// Guards against a level that stays low after a short surge, so that capacity is idle while requests are
+// refused.
+TEST_CASE("the level is back soon after a short surge") {
+    level_control it;
+    it.level = it.sustained = it.open = 3;
+    for (int n = 0; n < 20; ++n) {
+        update_level(it, 1.6, milliseconds{50});
+    }
+    const double lowest = it.level;
+    for (int n = 0; n < 10; ++n) {
+        update_level(it, 0.6, milliseconds{50});
+    }
+    CHECK(it.level > lowest + 0.9);
+    CHECK(it.level > 2.3);
+}
+
 // Guards against requests that enter although a service that they call further down has no room.
 TEST_CASE("a route's level is the lowest among the services that it causes work at") {
     admission_knowledge knowledge;
