Watch the targets' entries with stale reads and longer waits

Cause: calls to the store are the largest price on the grown deployment. Change: watches wait 20 s, those of targets may be stale and pause 400 ms. The nodes beside targets decide, so old entries cost a refused hop at most.

--- a/src/libmesh/directory.cpp
+++ b/src/libmesh/directory.cpp
@@ -12,11 +12,13 @@
 
 using nlohmann::json;
 
-/// Longest wait of a watch. Each costs a call, and a connection that went silent is noticed by its keep-alive
-/// probes sooner.
-constexpr std::chrono::seconds watch_wait{6};
-/// Pause between a watch's answer and the next one, so that a burst of changes costs few calls.
-constexpr milliseconds watch_pause{60};
+/// Longest wait of a watch. Each costs a call; a connection that went silent is noticed by its keep-alive
+/// probes within 3 s.
+constexpr std::chrono::seconds watch_wait{20};
+/// Pauses between a watch's answer and the next one, so that a burst of changes costs few calls. A
+/// configuration must be in force soon; news of targets may be older, since the node beside a target decides.
+constexpr milliseconds config_pause{60};
+constexpr milliseconds target_pause{400};
 /// Pauses after a failure grow from the first to the longest and are spread over as much again.
 constexpr milliseconds first_pause{120};
 constexpr milliseconds longest_pause{700};
@@ -63,6 +65,8 @@
     std::function<void(const stored_object&)> take;
     /// Called after a whole list, with the names in it.
     std::function<void(const std::set<std::string>&)> loaded;
+    freshness wanted = freshness::current;
+    milliseconds pause = config_pause;
     std::uint64_t revision = 0;
     unsigned failures = 0;
 };
@@ -79,6 +83,8 @@
     config_->loaded = [](const std::set<std::string>&) {
     };
     targets_->kind = state.port.target_kind;
+    targets_->wanted = freshness::stale;
+    targets_->pause = target_pause;
     targets_->take = [this](const stored_object& it) {
         take_target(it);
     };
@@ -146,27 +152,28 @@
 }
 
 void directory::follow(collection& it) {
-    store_.watch(it.kind, it.revision, watch_wait, [this, &it, alive = alive_](result<object_list> changes) {
-        if (!*alive) {
-            return;
-        }
-        const bool history_gone = !changes && changes.error().kind == error_kind::not_found;
-        note_result(changes.has_value() || history_gone, "watch");
-        if (!changes) {
-            retry(it, history_gone);
-            return;
-        }
-        it.failures = 0;
-        it.revision = std::max(it.revision, changes.value().revision);
-        for (const auto& object : changes.value().objects) {
-            it.take(object);
-        }
-        state_.loop.schedule(watch_pause, [this, &it, alive] {
-            if (*alive) {
-                follow(it);
-            }
-        });
-    });
+    store_.watch(it.kind, it.revision, watch_wait, it.wanted,
+                 [this, &it, alive = alive_](result<object_list> changes) {
+                     if (!*alive) {
+                         return;
+                     }
+                     const bool history_gone = !changes && changes.error().kind == error_kind::not_found;
+                     note_result(changes.has_value() || history_gone, "watch");
+                     if (!changes) {
+                         retry(it, history_gone);
+                         return;
+                     }
+                     it.failures = 0;
+                     it.revision = std::max(it.revision, changes.value().revision);
+                     for (const auto& object : changes.value().objects) {
+                         it.take(object);
+                     }
+                     state_.loop.schedule(it.pause, [this, &it, alive] {
+                         if (*alive) {
+                             follow(it);
+                         }
+                     });
+                 });
 }
 
 void directory::retry(collection& it, bool reload) {
--- a/src/libmesh/objectclient.h
+++ b/src/libmesh/objectclient.h
@@ -25,6 +25,9 @@
     std::uint64_t revision = 0;
 };
 
+/// How fresh an answer must be. A stale one may be seconds old and costs the store less.
+enum class freshness { current, stale };
+
 /// Asynchronous client of the platform's store. Each callback is called exactly once, on the event loop.
 /// Errors: store_unavailable (nothing known of the outcome, or refused), conflict (the object has another
 /// revision, or exists), not_found (the object, or the history asked for, is gone).
@@ -42,7 +45,8 @@
 
     virtual void list(std::string_view kind, list_callback fn) = 0;
     /// Reports changes after a revision as soon as there are any, or an empty list after `wait`.
-    virtual void watch(std::string_view kind, std::uint64_t after, span_of_time wait, list_callback fn) = 0;
+    virtual void watch(std::string_view kind, std::uint64_t after, span_of_time wait, freshness wanted,
+                       list_callback fn) = 0;
     virtual void get(std::string_view kind, std::string_view name, object_callback fn) = 0;
     virtual void create(std::string_view kind, std::string_view name, std::string content,
                         object_callback fn) = 0;
