--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Entry points; CMake does the building.
-JOBS ?= 10
+JOBS ?= 6
 BUILD ?= build
 
 .PHONY: all deps build build-asan run platform-day test test-asan lint format bench clean
