--- a/src/libmesh/outboundcalls.cpp
+++ b/src/libmesh/outboundcalls.cpp
@@ -32,6 +32,7 @@
 constexpr milliseconds unrepeatable_slack{1500};
 
 constexpr std::string_view reason_hop_cut = "hop-cut";
+constexpr std::string_view reason_caller_gone = "caller-gone";
 constexpr std::string_view reason_unreachable = "node-unreachable";
 
 const route& route_of(const outbound_call& call) {
@@ -129,6 +130,9 @@
     if (it.load.capacity > 0) {
         record_report(view, it.load, now);
     }
+    if (it.reached_target && it.reason != reason_caller_gone) {
+        record_outcome(view, it.outcome == hop_outcome::answered, now);
+    }
     if (it.outcome == hop_outcome::answered) {
         record_available(view);
     } else if (!it.accepting || it.reason == reason_hop_cut || it.reason == reason_unreachable) {
@@ -199,7 +203,7 @@
     hop_result it;
     if (const auto* failure = std::get_if<http_failure>(&answer)) {
         it.outcome = failure->sent ? hop_outcome::unknown : hop_outcome::not_run;
-        it.reason = failure->kind == http_failure_kind::cancelled ? "caller-gone"
+        it.reason = failure->kind == http_failure_kind::cancelled ? reason_caller_gone
                     : failure->sent                               ? reason_hop_cut
                                                                   : reason_unreachable;
         return it;
--- a/src/libmesh/targetdirectory.cpp
+++ b/src/libmesh/targetdirectory.cpp
@@ -1,6 +1,7 @@
 #include "targetdirectory.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace baobabswitch {
 
@@ -21,6 +22,13 @@
 /// Least work that a score assumes, so that an idle slow target does not look as good as an idle fast one.
 constexpr double base_load = 0.15;
 
+/// Load that a target which never answers counts as busier by, as a multiple of its capacity. With a rate of
+/// 0.4 another target is preferred until it is 40% of its capacity busier.
+constexpr double failure_penalty = 1.0;
+/// Weight of one call in the failure rate, and the time in which it halves without calls.
+constexpr double failure_weight = 0.1;
+constexpr std::chrono::seconds failure_half_life{2};
+
 bool is_excluded(std::span<const std::string> excluded, std::string_view node) {
     return std::find(excluded.begin(), excluded.end(), node) != excluded.end();
 }
@@ -82,6 +90,7 @@
         const double shift = static_cast<double>((++n * 2654435761U) >> 8U) / static_cast<double>(1U << 24U);
         const double jitter = inputs.jitter + shift < 1 ? inputs.jitter + shift : inputs.jitter + shift - 1;
         double score = (base_load + load) * std::max(0.3, it.report.slowness) + score_jitter * jitter;
+        score += failure_penalty * failure_rate(it, inputs.now);
         if (it.entry.domain != inputs.own_domain) {
             score += domain_penalty;
         }
@@ -112,4 +121,14 @@
     it.avoid_until = {};
 }
 
+void record_outcome(target_view& it, bool answered, moment now) {
+    const double rate = failure_rate(it, now);
+    it.failure_rate = rate + failure_weight * ((answered ? 0.0 : 1.0) - rate);
+    it.failure_rate_at = now;
+}
+
+double failure_rate(const target_view& it, moment now) {
+    return it.failure_rate * std::exp2(-to_ms(now - it.failure_rate_at) / to_ms(failure_half_life));
+}
+
 } // namespace baobabswitch
--- a/src/libmesh/targetdirectory.h
+++ b/src/libmesh/targetdirectory.h
@@ -45,6 +45,8 @@
     unsigned in_flight_at_report = 0; ///< of them, when the report came
     moment avoid_until{};             ///< after a failure to reach it or a refusal
     unsigned consecutive_failures = 0;
+    double failure_rate = 0; ///< part of the calls that it got and did not answer, lately
+    moment failure_rate_at{};
 };
 
 /// All targets that this node knows, by node name.
@@ -79,6 +81,13 @@
 /// Records that a target was reached.
 void record_available(target_view& it);
 
+/// Records whether a call that reached the target was answered.
+void record_outcome(target_view& it, bool answered, moment now);
+
+/// Returns the part of its calls that a target did not answer lately; it halves with each 2 s without calls,
+/// so that the target is tried again.
+double failure_rate(const target_view& it, moment now);
+
 /// Returns the expected load of a target as a fraction of its capacity, queue included.
 double expected_load(const target_view& it, moment now);
 
--- a/tests/mesh/test_targetdirectory.cpp
+++ b/tests/mesh/test_targetdirectory.cpp
@@ -51,6 +51,30 @@
     CHECK(chosen(table, start) == "other");
 }
 
+// Guards against calls to a target that breaks off many of them although another answers, and against leaving
+// it out for good.
+TEST_CASE("a target that does not answer is avoided while it does so") {
+    target_table table;
+    update_target(table, entry("near", "east"));
+    update_target(table, entry("other", "east"));
+    auto& near = table.by_node.at("near");
+    auto& other = table.by_node.at("other");
+    for (int n = 0; n < 50; ++n) {
+        record_outcome(near, n % 5 > 1, start);
+        record_outcome(other, true, start);
+    }
+    CHECK(failure_rate(near, start) > 0.2);
+    record_report(near, {3, 0, 10, 1}, start);
+    record_report(other, {4, 0, 10, 1}, start);
+    CHECK(chosen(table, start) == "other");
+    CHECK(failure_rate(near, start + std::chrono::seconds{10}) < 0.05);
+    // When all fail alike, load decides.
+    for (int n = 0; n < 50; ++n) {
+        record_outcome(other, n % 5 > 1, start);
+    }
+    CHECK(chosen(table, start) == "near");
+}
+
 // Guards against sending to a node that does not answer while others do, and against never trying it again.
 TEST_CASE("an unreachable target is avoided for a bounded time") {
     target_table table;
