--- a/src/libmesh/outboundcalls.cpp
+++ b/src/libmesh/outboundcalls.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 
 namespace baobabswitch {
@@ -48,9 +49,9 @@
     const double objective = call.config ? to_ms(route_of(call).latency_objective) : 1000;
     const double wanted = objective * (first_return + return_spread * uniform(state));
     const double latest = std::max(0.0, to_ms(call.due - now)) * latest_return;
-    char buf[32];
-    (void)std::snprintf(buf, sizeof buf, "%.3f", std::min(wanted, latest) / 1000);
-    return buf;
+    std::array<char, 32> buf{};
+    (void)std::snprintf(buf.data(), buf.size(), "%.3f", std::min(wanted, latest) / 1000);
+    return buf.data();
 }
 
 void end_call(mesh_state& state, outbound_id id) {
