--- a/src/libhttp/httpclient.cpp
+++ b/src/libhttp/httpclient.cpp
@@ -437,7 +437,12 @@
 http_client::http_client(event_loop& loop, http_client_options options)
     : impl_(std::make_shared<impl>(loop.implementation().context, std::move(options))) {}
 
-http_client::~http_client() = default;
+http_client::~http_client() {
+    // An exchange and the connection that carries it refer to each other.
+    for (const auto& [id, it] : impl_->exchanges) {
+        it->carrier.reset();
+    }
+}
 
 http_client::exchange_id http_client::send(const endpoint& peer, http_request request, duration timeout,
                                            callback on_result) {
--- a/src/libmesh/meshnode.cpp
+++ b/src/libmesh/meshnode.cpp
@@ -32,7 +32,7 @@
 /// Part of a target's connections that the node beside it uses at most; health checks use others.
 constexpr std::size_t spare_connections = 8;
 
-http_server_options server_options(const mesh_settings& settings) {
+http_server_options server_options() {
     http_server_options it;
     it.limits.header_bytes = 64 * 1024;
     it.limits.body_bytes = 64 * 1024 * 1024;
@@ -44,18 +44,16 @@
                                                                            : 400;
         return json_response(status, R"({"error":"malformed"})");
     };
-    (void)settings;
     return it;
 }
 
-void respond_hop(mesh_state& state, http_exchange& exchange, hop_result it) {
+void respond_hop(http_exchange& exchange, hop_result it) {
     const auto text = encode_hop_result(it, boot_clock::now());
     auto response = std::move(it.response);
     if (it.outcome != hop_outcome::answered) {
         response = json_response(503, "{}");
     }
     response.headers.emplace_back(std::string{hop_header}, text);
-    (void)state;
     exchange.respond(std::move(response));
 }
 
@@ -109,7 +107,7 @@
 
 result<void> mesh_node::listen() {
     const auto& addresses = state_.settings.listen;
-    const auto options = server_options(state_.settings);
+    const auto options = server_options();
     BOOST_OUTCOME_TRYV(
         add_server(addresses.outbound, options,
                    [this](http_request request, const std::shared_ptr<http_exchange>& exchange) {
@@ -154,9 +152,9 @@
     std::erase_if(request.headers, [](const auto& field) { return field.first == hop_header; });
     const auto ended = std::make_shared<bool>(false);
     const auto id = start_local_run(state_, std::move(info.value()), std::move(request),
-                                    [this, exchange, ended](hop_result it) {
+                                    [exchange, ended](hop_result it) {
                                         *ended = true;
-                                        respond_hop(state_, *exchange, std::move(it));
+                                        respond_hop(*exchange, std::move(it));
                                     });
     if (!*ended) {
         exchange->on_abandoned([this, id] { cancel_local_run(state_, id); });
@@ -267,7 +265,6 @@
 void mesh_node::reload(const mesh_settings& changed) {
     state_.settings.retries = changed.retries;
     state_.budget.bounds = changed.retries;
-    state_.settings.drain_time = changed.drain_time;
     state_.settings.stop_time = changed.stop_time;
     state_.log.write_always("settings-reloaded", {{"retry_ratio", changed.retries.ratio},
                                                   {"retry_slack", changed.retries.slack},
--- a/src/libmesh/meshstate.h
+++ b/src/libmesh/meshstate.h
@@ -76,7 +76,6 @@
     double position = 0;
     bool nested = false;
     bool repeat = false; ///< of a run that was itself a repeat
-    bool caller_gone = false;
     bool answered = false;
     std::vector<std::string> tried; ///< nodes
     unsigned targets_reached = 0;   ///< targets that may have got the request
--- a/src/libmesh/outboundcalls.cpp
+++ b/src/libmesh/outboundcalls.cpp
@@ -334,7 +334,6 @@
         return;
     }
     auto& call = found->second;
-    call.caller_gone = true;
     call.answered = true;
     call.timer.cancel();
     state.metrics.count_request(route_name(call), 0, "caller-gone",
--- a/src/libmesh/platformport.h
+++ b/src/libmesh/platformport.h
@@ -57,9 +57,7 @@
     endpoint store;
     bool first_start = false; ///< the whole system starts for the first time
     retry_bounds retries;
-    span_of_time drain_time = std::chrono::seconds{2}; ///< after it a leaving target gets no new calls
-    span_of_time stop_time = std::chrono::seconds{6};  ///< from SIGTERM to SIGKILL
-    std::size_t memory_bytes = 0;                      ///< the process is killed above it
+    span_of_time stop_time = std::chrono::seconds{6}; ///< from SIGTERM to SIGKILL
 };
 
 /// Everything that differs between deployments: names, formats and calls, but no decisions.
