--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -207,3 +207,34 @@
     loop.run();
     CHECK(answer.starts_with("HTTP/1.1 200"));
 }
+
+TEST_CASE("an answer that names another request is passed over", "[http]") {
+    // Guards against an extra answer that arrives late, where the next answer is expected.
+    event_loop loop;
+    auto& context = loop.implementation().context;
+    asio::ip::tcp::acceptor acceptor{context, {asio::ip::make_address("127.0.0.1"), 0}};
+    asio::ip::tcp::socket peer{context};
+    std::string buf(4096, ' ');
+    const auto answer = [](const std::string& id, const std::string& body) {
+        return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 3\r\n\r\n" + body;
+    };
+    acceptor.async_accept(peer, [&](boost::system::error_code) {
+        peer.async_read_some(asio::buffer(buf), [&](boost::system::error_code, std::size_t) {
+            asio::write(peer, asio::buffer(answer("old", "bad") + answer("new", "own")));
+        });
+    });
+    http_client_options options;
+    options.correlation_header = "X-Id";
+    http_client client{loop, options};
+    std::string body;
+    const endpoint address{"127.0.0.1", acceptor.local_endpoint().port()};
+    client.send(address, {"GET", "/", {{"X-Id", "new"}}, ""}, long_timeout, [&](http_result result) {
+        if (const auto* response = std::get_if<http_response>(&result)) {
+            body = response->body;
+        }
+        loop.stop();
+    });
+    loop.run();
+    CHECK(body == "own");
+    CHECK(client.open_connections() == 0); // such a connection is not used again
+}
