Add a soak with real nodes under random faults

baobabswitch-soak starts real nodes as child processes beside stand-ins for the store (published protocol), targets and callers, injects 13 kinds of faults by signals, the fault proxy and the stand-ins, and checks from what callers and targets see: at most once, true "not run", whole answers, slots, leaving, versions in force and never older, planned stops in time, recovery within 15 s. The fault proxy moves into a library. Tests of http, mesh, adapter and soak link only what they use.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 
 # The same tests under AddressSanitizer and UBSan, without those that start processes.
 test-asan: build-asan
-	@cd build-asan && ctest --output-on-failure -j 8 -E '^(integration|bench)$$'
+	@cd build-asan && ctest --output-on-failure -j 8 -E '^(integration|bench|soak)$$'
 
 lint: build
 	@./scripts/lint $(BUILD)
--- /dev/null
+++ b/src/baobabswitch-soak/main.cpp
@@ -0,0 +1,78 @@
+#include "soak.h"
+
+#include <cxxopts.hpp>
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+
+using namespace baobabswitch;
+
+namespace {
+
+/// Prints a report as one JSON line. Returns whether every promise was kept.
+bool print(std::uint64_t seed, const soak_report& it) {
+    std::cout << nlohmann::json{{"seed", seed},        {"sent", it.sent},
+                                {"served", it.served}, {"refused", it.refused},
+                                {"failed", it.failed}, {"store_calls", it.store_calls},
+                                {"faults", it.faults}, {"violations", it.violations}}
+                     .dump()
+              << std::endl;
+    return it.violations.empty();
+}
+
+int run(const cxxopts::ParseResult& args) {
+    soak_options options;
+    options.seconds = args["seconds"].as<double>();
+    options.vms = args["vms"].as<unsigned>();
+    options.node_program = args["node-program"].as<std::string>();
+    const auto first = args["seed"].as<std::uint64_t>();
+    const auto folder = args["folder"].as<std::string>();
+    bool kept = true;
+    for (auto seed = first; seed < first + args["runs"].as<std::uint64_t>(); ++seed) {
+        options.seed = seed;
+        options.folder = folder + "/seed-" + std::to_string(seed);
+        std::error_code ec;
+        std::filesystem::remove_all(options.folder, ec);
+        const auto report = run_soak(options);
+        if (!report) {
+            std::cerr << "baobabswitch-soak: " << describe(report.error()) << '\n';
+            return EXIT_FAILURE;
+        }
+        const bool clean = print(seed, report.value());
+        kept = kept && clean;
+        if (clean) {
+            std::filesystem::remove_all(options.folder, ec);
+        }
+    }
+    return kept ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    cxxopts::Options options{"baobabswitch-soak",
+                             "Runs real nodes with stand-ins under random faults and checks their promises. "
+                             "Prints a JSON line for each seed; keeps the logs of a failed one."};
+    options.add_options()("seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "runs", "number of seeds", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "seconds", "length of a run, of which the last 18 are without faults",
+        cxxopts::value<double>()->default_value("40"))("vms", "VMs with a node and a target each",
+                                                       cxxopts::value<unsigned>()->default_value("6"))(
+        "node-program", "the node to run",
+        cxxopts::value<std::string>()->default_value("build/bin/baobabswitch-mesh"))(
+        "folder", "folder for settings files and logs",
+        cxxopts::value<std::string>()->default_value("soak"))("help", "print this help and exit");
+    try {
+        const auto args = options.parse(argc, argv);
+        if (args.count("help") > 0) {
+            std::cout << options.help();
+            return EXIT_SUCCESS;
+        }
+        return run(args);
+    } catch (const cxxopts::exceptions::exception& ex) {
+        std::cerr << "baobabswitch-soak: " << ex.what() << "; see --help\n";
+        return EXIT_FAILURE;
+    }
+}
--- a/src/libdeployment/deployment.h
+++ b/src/libdeployment/deployment.h
@@ -76,7 +76,7 @@
     /// Returns the VMs of a service.
     std::vector<std::size_t> vms_of(const std::string& service) const;
 
-    /// Replaces the rules of the proxy (src/fault-proxy/rules.h); the latency between domains stays. Returns
+    /// Replaces the rules of the proxy (src/libfaultproxy/rules.h); the latency between domains stays. Returns
     /// whether the proxy accepted them. Needs options.proxied.
     bool set_faults(const nlohmann::json& rules) const;
     /// Returns how often the proxy injected each fault.
--- /dev/null
+++ b/src/libsoak/metadatastandin.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "httpserver.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace baobabswitch {
+
+/// How the stand-in of the store treats calls.
+enum class store_fault {
+    none,
+    busy,        ///< 503, nothing is done
+    silent,      ///< nothing is done and no answer comes
+    slow,        ///< answers take 400 ms longer
+    lost_answers ///< a third of the writes are done and not answered
+};
+
+/// Stand-in for the platform's metadata store, by the published protocol: kinds of objects with revisions,
+/// conditional writes, lists, and watches that end with 410 once the history is gone. Keeps all in memory.
+class metadata_standin {
+public:
+    /// Starts to listen. Fails with bad_settings when the address can't be bound.
+    static result<std::unique_ptr<metadata_standin>> create(event_loop& loop, const endpoint& address);
+    explicit metadata_standin(event_loop& loop);
+
+    /// Writes an object as the operators do, whatever its revision.
+    void put(const std::string& kind, const std::string& name, nlohmann::json spec);
+    void set_fault(store_fault fault);
+    /// Drops the history: watches from an older revision get 410.
+    void forget_history();
+    std::uint64_t calls() const;
+
+private:
+    struct stored_object {
+        nlohmann::json spec;
+        std::uint64_t revision = 0;
+        bool deleted = false;
+    };
+    struct pending_watch {
+        std::string kind;
+        std::uint64_t after = 0;
+        std::shared_ptr<http_exchange> exchange;
+    };
+
+    void handle(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
+    void serve(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
+    void read(const http_request& request, const std::string& kind, const std::string& name,
+              const std::shared_ptr<http_exchange>& exchange);
+    http_response write(const http_request& request, const std::string& kind, std::string name);
+    nlohmann::json events(const std::string& kind, std::uint64_t after) const;
+    void changed(const std::string& kind);
+
+    event_loop& loop_;
+    std::unique_ptr<http_server> server_;
+    std::map<std::string, std::map<std::string, stored_object>> kinds_;
+    std::vector<pending_watch> watches_;
+    std::vector<std::shared_ptr<http_exchange>> unanswered_; ///< held open, as a silent store does
+    std::uint64_t revision_ = 1;
+    std::uint64_t history_start_ = 0;
+    std::uint64_t calls_ = 0;
+    std::uint64_t writes_ = 0;
+    store_fault fault_ = store_fault::none;
+};
+
+} // namespace baobabswitch
--- /dev/null
+++ b/src/libsoak/soaktarget.cpp
@@ -0,0 +1,174 @@
+#include "soaktarget.h"
+
+#include "wallclock.h"
+#include "wirenames.h"
+
+#include <nlohmann/json.hpp>
+
+namespace baobabswitch {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds announcement_timeout{1000};
+constexpr milliseconds default_deadline{1000};
+
+/// A request that a target runs.
+struct target_run {
+    std::string id;
+    std::shared_ptr<http_exchange> exchange;
+    std::string instance; ///< the incarnation that runs it
+    bool ended = false;
+};
+
+http_response signed_answer(const std::string& id) {
+    return {200,
+            {{std::string{platform::header_request_id}, id},
+             {std::string{platform::header_signature}, "s-" + id}},
+            "answer of " + id};
+}
+
+void end_run(soak_target& it, target_run& run) {
+    if (!run.ended && run.instance == it.instance) {
+        --it.running;
+    }
+    run.ended = true;
+}
+
+void answer_run(soak_target& it, target_run& run, bool calls_succeeded) {
+    if (run.ended) {
+        return;
+    }
+    end_run(it, run);
+    if (calls_succeeded) {
+        run.exchange->respond(signed_answer(run.id));
+    } else {
+        run.exchange->respond({500, {{std::string{platform::header_request_id}, run.id}}, {}});
+    }
+}
+
+/// Calls the service behind this one, as part of a run.
+void call_back(const target_context& context, soak_target& it, const std::shared_ptr<target_run>& run,
+               milliseconds left) {
+    http_request request;
+    request.target = "/back/x";
+    const auto id = run->id + ".1";
+    request.headers = {{"Host", "soak.example"},
+                       {std::string{platform::header_request_id}, id},
+                       {std::string{platform::header_time_left}, std::to_string(left.count())}};
+    record_sent(context.ledger, id, true, boot_clock::now());
+    context.client.send(
+        it.outbound, std::move(request), left, [&context, &it, run, id](const http_result& result) {
+            const auto* answer = std::get_if<http_response>(&result);
+            if (answer != nullptr) {
+                record_answer(context.ledger, id, answer->status,
+                              std::string{header_or_empty(answer->headers, platform::header_request_id)});
+            }
+            answer_run(it, *run, answer != nullptr && answer->status == 200);
+        });
+}
+
+void check_start(const target_context& context, soak_target& it, const std::string& id) {
+    if (it.running >= it.slots) {
+        context.ledger.violations.push_back("target " + it.instance + ": got " + id + " with all " +
+                                            std::to_string(it.slots) + " slots taken");
+    }
+    if (it.left_at && boot_clock::now() - *it.left_at > drain_time) {
+        context.ledger.violations.push_back("target " + it.instance + ": got " + id + " " +
+                                            std::to_string(to_ms(boot_clock::now() - *it.left_at)) +
+                                            " ms after its leaving was acknowledged");
+    }
+}
+
+void run_request(const target_context& context, soak_target& it, const http_request& request,
+                 const std::shared_ptr<http_exchange>& exchange) {
+    if (path_of(request.target) == "/healthz") {
+        const bool healthy = !it.leaving;
+        exchange->respond(
+            {healthy ? 200U : 503U, {{std::string{platform::header_instance_id}, it.instance}}, {}});
+        return;
+    }
+    if (header_or_empty(request.headers, platform::header_target_instance) != it.instance) {
+        exchange->respond({421, {{std::string{platform::header_instance_id}, it.instance}}, {}});
+        return;
+    }
+    const std::string id{header_or_empty(request.headers, platform::header_request_id)};
+    check_start(context, it, id);
+    record_run(context.ledger, id);
+    ++it.running;
+    const auto run = std::make_shared<target_run>(target_run{id, exchange, it.instance, false});
+    exchange->on_abandoned([&it, run] { end_run(it, *run); });
+    const auto given = parse_number(header_or_empty(request.headers, platform::header_time_left));
+    const milliseconds left{given.value_or(default_deadline.count())};
+    const auto work = it.work;
+    const bool calls = it.service == "front" && request.method == "GET";
+    context.loop.schedule(work, [&context, &it, run, calls, left, work] {
+        if (run->ended || run->instance != it.instance) {
+            return;
+        }
+        if (calls && left > work) {
+            call_back(context, it, run, left - work);
+        } else {
+            answer_run(it, *run, true);
+        }
+    });
+}
+
+} // namespace
+
+result<void> open_target(const target_context& context, soak_target& it) {
+    auto server = http_server::listen(
+        context.loop, it.listen, {},
+        [&context, &it](const http_request& request, const std::shared_ptr<http_exchange>& exchange) {
+            run_request(context, it, request, exchange);
+        });
+    if (!server) {
+        return server.error();
+    }
+    it.server = std::move(server.value());
+    return success();
+}
+
+void start_target(soak_target& it) {
+    it.instance = "i-" + it.address.host + "-" + std::to_string(++it.starts);
+    it.started_ms = wall_clock_ms();
+    it.sequence = 0;
+    it.running = 0;
+    it.leaving = false;
+    it.left_at.reset();
+    it.up = true;
+}
+
+void crash_target(soak_target& it) {
+    it.up = false;
+    it.instance.clear();
+}
+
+void announce_target(const target_context& context, soak_target& it) {
+    if (!it.up) {
+        return;
+    }
+    http_request request;
+    request.method = "PUT";
+    request.target = std::string{platform::path_instances} + it.instance;
+    request.body =
+        json{
+            {"address", to_string(it.address)},
+            {"born", it.started_ms},
+            {"info", {{"service", it.service}, {"version", "v1"}, {"zone", it.domain}, {"slots", it.slots}}},
+            {"status",
+             {{"state", it.leaving ? "draining" : "ready"}, {"sequence", ++it.sequence}, {"cold_left_s", 0}}}}
+            .dump();
+    const bool leaving = it.leaving;
+    context.client.send(it.control, std::move(request), announcement_timeout,
+                        [&it, leaving, instance = it.instance](const http_result& result) {
+                            const auto* answer = std::get_if<http_response>(&result);
+                            const bool taken = answer != nullptr && answer->status == 200;
+                            if (taken && leaving && it.instance == instance && !it.left_at) {
+                                it.left_at = boot_clock::now();
+                            }
+                        });
+}
+
+} // namespace baobabswitch
--- /dev/null
+++ b/src/libsoak/soaktarget.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "httpclient.h"
+#include "httpserver.h"
+#include "soakledger.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace baobabswitch {
+
+/// A target beside a node: runs requests, calls the service "back" for those of "front", and announces itself
+/// to its node until that acknowledged that it leaves.
+struct soak_target {
+    endpoint address; ///< as announced; behind it the fault proxy passes connections on to `listen`
+    endpoint listen;
+    endpoint control;  ///< of the node beside it
+    endpoint outbound; ///< of the node beside it
+    std::string service;
+    std::string domain;
+    std::string instance;
+    std::uint64_t started_ms = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t starts = 0;
+    unsigned slots = 8;
+    unsigned running = 0;
+    bool leaving = false;
+    std::optional<moment> left_at; ///< its leaving was acknowledged
+    bool up = false;
+    milliseconds work{15};
+    std::unique_ptr<http_server> server;
+};
+
+/// What all targets use.
+struct target_context {
+    event_loop& loop;
+    http_client& client;
+    soak_ledger& ledger;
+};
+
+/// Time for which new requests may still reach a target whose leaving was acknowledged: `drain_s` of the
+/// settings that the soak writes.
+constexpr milliseconds drain_time{2000};
+
+/// Starts to listen. Fails with bad_settings when the address can't be bound.
+result<void> open_target(const target_context& context, soak_target& it);
+/// Starts a target as a new incarnation.
+void start_target(soak_target& it);
+/// Ends a target at once. Its connections must be cut by the fault proxy, which ends what it runs.
+void crash_target(soak_target& it);
+/// Sends one announcement, as the platform's targets do each heartbeat.
+void announce_target(const target_context& context, soak_target& it);
+
+} // namespace baobabswitch
--- /dev/null
+++ b/tests/soak/test_soak.cpp
@@ -0,0 +1,147 @@
+#include "metadatastandin.h"
+#include "metadatastore.h"
+#include "soak.h"
+#include "soakledger.h"
+
+#include "seed.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+
+using namespace baobabswitch;
+
+namespace {
+
+struct store_rig {
+    event_loop loop;
+    std::unique_ptr<metadata_standin> store;
+    std::unique_ptr<object_client> client;
+
+    store_rig() {
+        auto created = metadata_standin::create(loop, {"127.88.251.1", 18399});
+        REQUIRE(created);
+        store = std::move(created.value());
+        client = platform::make_metadata_store(loop, {"127.88.251.1", 18399}, "127.88.251.2");
+    }
+    void run_for(milliseconds time) {
+        loop.schedule(time, [this] { loop.stop(); });
+        loop.run();
+    }
+};
+
+} // namespace
+
+// Guards against a stand-in that accepts what the platform's store refuses, which would hide lost writes.
+TEST_CASE("the store's stand-in takes conditional writes only on the right revision", "[standin]") {
+    store_rig it;
+    std::uint64_t revision = 0;
+    it.client->create("targets", "a", R"({"n":1})", [&](const result<stored_object>& made) {
+        REQUIRE(made);
+        revision = made.value().revision;
+    });
+    it.run_for(milliseconds{100});
+    REQUIRE(revision > 0);
+    std::vector<error_kind> errors;
+    const auto note = [&](const result<stored_object>& made) {
+        REQUIRE_FALSE(made);
+        errors.push_back(made.error().kind);
+    };
+    it.client->create("targets", "a", R"({"n":2})", note);
+    it.run_for(milliseconds{50});
+    it.client->replace("targets", {"a", revision + 7, R"({"n":2})", false}, note);
+    it.run_for(milliseconds{50});
+    it.client->remove("targets", "b", 0, note);
+    it.run_for(milliseconds{50});
+    CHECK(errors == std::vector{error_kind::conflict, error_kind::conflict, error_kind::not_found});
+    std::string content;
+    it.client->get("targets", "a",
+                   [&](const result<stored_object>& read) { content = read.value().content; });
+    it.run_for(milliseconds{50});
+    CHECK(content == R"({"n":1})");
+}
+
+// Guards against a watch that misses a change or that survives the loss of the history.
+TEST_CASE("the store's stand-in answers a watch with the change and 410 once the history is gone",
+          "[standin]") {
+    store_rig it;
+    it.store->put("config", "main", {{"n", 1}});
+    std::uint64_t revision = 0;
+    it.client->list("config", [&](const result<object_list>& all) { revision = all.value().revision; });
+    it.run_for(milliseconds{100});
+    std::vector<std::string> seen;
+    it.client->watch("config", revision, std::chrono::seconds{5}, freshness::current,
+                     [&](const result<object_list>& changes) {
+                         REQUIRE(changes);
+                         for (const auto& object : changes.value().objects) {
+                             seen.push_back(object.content);
+                         }
+                     });
+    it.run_for(milliseconds{50});
+    CHECK(seen.empty());
+    it.store->put("config", "main", {{"n", 2}});
+    it.run_for(milliseconds{50});
+    CHECK(seen == std::vector<std::string>{R"({"n":2})"});
+    it.store->forget_history();
+    bool gone = false;
+    it.client->watch("config", revision, std::chrono::seconds{5}, freshness::current,
+                     [&](const result<object_list>& changes) {
+                         gone = !changes && changes.error().kind == error_kind::not_found;
+                     });
+    it.run_for(milliseconds{50});
+    CHECK(gone);
+}
+
+// Guards against a soak that stays clean because its checks see nothing.
+TEST_CASE("the soak's ledger finds each broken promise", "[ledger]") {
+    soak_ledger it;
+    record_sent(it, "w", false, {});
+    record_run(it, "w");
+    CHECK(it.violations.empty());
+    record_run(it, "w");
+    CHECK(it.violations.size() == 1);
+    record_sent(it, "r", true, {});
+    record_run(it, "r");
+    record_run(it, "r");
+    record_answer(it, "r", 200, "r");
+    CHECK(it.violations.size() == 1);
+    record_run(it, "r");
+    CHECK(it.violations.size() == 2);
+    record_sent(it, "s", false, {});
+    record_answer(it, "s", 503, "s");
+    CHECK(it.violations.size() == 2);
+    record_run(it, "s");
+    CHECK(it.violations.size() == 3);
+    record_sent(it, "t", false, {});
+    record_run(it, "t");
+    record_answer(it, "t", 503, "t");
+    CHECK(it.violations.size() == 4);
+    record_sent(it, "u", true, {});
+    record_run(it, "u");
+    record_answer(it, "u", 200, "t");
+    CHECK(it.violations.size() == 5);
+    record_sent(it, "v", true, {});
+    record_answer(it, "v", 200, "v");
+    CHECK(it.violations.size() == 6);
+    record_run(it, "nobody");
+    CHECK(it.violations.size() == 7);
+}
+
+// Guards against broken promises under kills, pauses, planned stops, replaced and disturbed targets, a
+// misbehaving store and bursts, with real processes.
+TEST_CASE("a short soak keeps all promises", "[run]") {
+    const char* programs = std::getenv("BAOBABSWITCH_BIN");
+    REQUIRE(programs != nullptr);
+    soak_options options;
+    options.seed = first_seed(1);
+    options.node_program = std::string{programs} + "/baobabswitch-mesh";
+    options.folder = (std::filesystem::temp_directory_path() / "baobabswitch-soak-test").string();
+    const auto report = run_soak(options);
+    REQUIRE(report);
+    for (const auto& it : report.value().violations) {
+        FAIL_CHECK(it);
+    }
+    CHECK(report.value().served > 0);
+    CHECK(report.value().faults.size() > 3);
+}
