Skip requests whose client left before they were read

Change: the server looks for the end of the connection before it handles a request. Test: test_http, failed before.

--- a/src/libhttp/httpserver.cpp
+++ b/src/libhttp/httpserver.cpp
@@ -173,10 +173,7 @@
         if (state_ != state::handling && state_ != state::writing) {
             return;
         }
-        char buf = 0;
-        const auto n = ::recv(stream_.socket().native_handle(), &buf, 1, MSG_PEEK | MSG_DONTWAIT);
-        const bool reset = n < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
-        if ((n != 0 && !reset) || state_ == state::writing) {
+        if (!client_left() || state_ == state::writing) {
             return; // The next request was sent early; it stays in the socket until this one is answered.
         }
         const auto fn = std::move(abandoned_);
@@ -186,6 +183,13 @@
         }
     }
 
+    /// Reports whether the client closed the connection. Unread bytes of a next request count as staying.
+    bool client_left() {
+        char buf = 0;
+        const auto n = ::recv(stream_.socket().native_handle(), &buf, 1, MSG_PEEK | MSG_DONTWAIT);
+        return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
     void read() {
         state_ = state::reading;
         parser_.emplace();
@@ -356,6 +360,11 @@
         write(server_->options.on_read_error(http_read_error::header_too_large), false);
         return;
     }
+    // On a busy VM requests wait in the socket; work for a client that left meanwhile would be wasted.
+    if (client_left()) {
+        close();
+        return;
+    }
     state_ = state::handling;
     ++serial_;
     await_readable();
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -111,6 +111,27 @@
     CHECK(noticed);
 }
 
+// Guards against work for clients that left while their requests waited to be read on a busy VM.
+TEST_CASE("a request whose client left before it was read is not handled", "[http]") {
+    event_loop loop;
+    unsigned handled = 0;
+    auto server = http_server::listen(
+        loop, {"127.0.0.1", 0}, {}, [&](const http_request&, const std::shared_ptr<http_exchange>& exchange) {
+            ++handled;
+            exchange->respond({200, {}, ""});
+        });
+    REQUIRE(server);
+    asio::ip::tcp::socket client{loop.implementation().context};
+    client.connect({asio::ip::make_address("127.0.0.1"), server.value()->port()});
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    asio::write(client, asio::buffer(request));
+    client.close();
+    loop.schedule(milliseconds{100}, [&] { loop.stop(); });
+    loop.run();
+    CHECK(handled == 0);
+    CHECK(server.value()->open_connections() == 0);
+}
+
 TEST_CASE("a body past the limit is refused with the typed answer", "[http]") {
     event_loop loop;
     http_server_options options;
