Admit less while the event loop is late, and bound the bodies held

Cause 1: nodes know only their target's slots. Change: a second level, moved by how late the loop's timers run (8 ms wanted), counts at entry and in the level told. Change: each server that carries calls holds bodies up to a quarter of the memory that the settings state; past that it refuses unread with 503. Test: test_http, sum of bodies.

--- a/src/libbaobabswitch/node.cpp
+++ b/src/libbaobabswitch/node.cpp
@@ -35,6 +35,8 @@
                 "send less; limits.body_bytes is the bound"};
     case http_read_error::timeout:
         return {error_kind::timeout, "the request arrived too slowly", "send it without pauses"};
+    case http_read_error::memory_short:
+        return {error_kind::overloaded, "bodies of other requests take up the memory", "send it again later"};
     case http_read_error::malformed:
         break;
     }
--- a/src/libhttp/httpserver.cpp
+++ b/src/libhttp/httpserver.cpp
@@ -30,6 +30,7 @@
     http_server_options options;
     handler on_request;
     std::size_t connections = 0;
+    std::size_t held_body_bytes = 0; ///< of all sessions
     bool accepting = true;
     bool keep_alive = true;
 };
@@ -74,6 +75,7 @@
     }
     ~session() {
         --server_->connections;
+        drop_bodies();
     }
     session(const session&) = delete;
     session& operator=(const session&) = delete;
@@ -108,6 +110,7 @@
     enum class state { idle, reading, handling, writing, closed };
 
     void write(http_response answer, bool keep_alive) {
+        count_body(answer.body.size());
         response_.emplace();
         response_->version(11);
         response_->result(answer.status);
@@ -137,6 +140,7 @@
     void await_request() {
         state_ = state::idle;
         parser_.reset();
+        drop_bodies();
         if (buffer_.size() > 0) {
             read();
             return;
@@ -202,10 +206,51 @@
                                         self->on_read_failed(ec);
                                         return;
                                     }
-                                    self->confirm_body();
+                                    self->reserve_body();
                                 });
     }
 
+    /// Makes room for a body of known length before it is read.
+    void reserve_body() {
+        const auto length = parser_->content_length().value_or(0);
+        if (!has_room(length)) {
+            idle_timer_.cancel();
+            refuse_unread(http_read_error::memory_short);
+            return;
+        }
+        count_body(length);
+        confirm_body();
+    }
+
+    void count_body(std::size_t n) {
+        held_bytes_ += n;
+        server_->held_body_bytes += n;
+    }
+
+    void drop_bodies() {
+        server_->held_body_bytes -= held_bytes_;
+        held_bytes_ = 0;
+    }
+
+    /// Reports whether a body of so many bytes fits into what the server may hold. One alone always does, so
+    /// that no request is refused for good; its size has a limit of its own.
+    bool has_room(std::size_t n) const {
+        const auto most = server_->options.held_body_bytes;
+        const auto held = server_->held_body_bytes;
+        return most == 0 || n == 0 || held == 0 || held + n <= most;
+    }
+
+    void refuse_unread(http_read_error cause) {
+        if (!server_->options.on_read_error) {
+            close();
+            return;
+        }
+        auto answer = server_->options.on_read_error(cause);
+        state_ = state::writing;
+        unread_input_ = true;
+        write(std::move(answer), false);
+    }
+
     /// Tells a client that waits for it to go on with the body; curl would else pause for a second.
     void confirm_body() {
         if (!beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
@@ -256,14 +301,11 @@
         }
         const bool gone = ec == http::error::end_of_stream || ec == asio::error::connection_reset ||
                           ec == asio::error::operation_aborted;
-        if (gone || !server_->options.on_read_error) {
+        if (gone) {
             close();
             return;
         }
-        auto answer = server_->options.on_read_error(classify(ec));
-        state_ = state::writing;
-        unread_input_ = true;
-        write(std::move(answer), false);
+        refuse_unread(classify(ec));
     }
 
     /// Ends a connection whose client may still be sending: a close with unread input would reset the
@@ -315,6 +357,7 @@
     std::function<void()> abandoned_;
     std::string remote_host_;
     std::uint64_t serial_ = 0;
+    std::size_t held_bytes_ = 0; ///< bodies of the request in progress and of its answer
     state state_ = state::idle;
     bool keep_alive_ = true;
     bool wait_pending_ = false;
@@ -365,6 +408,14 @@
         close();
         return;
     }
+    // A body in chunks told no length, so it is counted only now.
+    if (held_bytes_ == 0 && !has_room(request.body.size())) {
+        refuse_unread(http_read_error::memory_short);
+        return;
+    }
+    if (held_bytes_ == 0) {
+        count_body(request.body.size());
+    }
     state_ = state::handling;
     ++serial_;
     await_readable();
--- a/src/libhttp/httpserver.h
+++ b/src/libhttp/httpserver.h
@@ -9,7 +9,13 @@
 namespace baobabswitch {
 
 /// Why a request could not be read.
-enum class http_read_error { malformed, header_too_large, body_too_large, timeout };
+enum class http_read_error {
+    malformed,
+    header_too_large,
+    body_too_large,
+    timeout,
+    memory_short ///< the bodies held by the server leave no room for this one
+};
 
 /// One request that awaits its answer. Event loop thread only.
 class http_exchange {
@@ -33,6 +39,8 @@
 struct http_server_options {
     http_limits limits;
     std::size_t max_connections = 8192;
+    /// Bound on the bodies of all requests in progress and of answers that clients did not take yet; 0: none.
+    std::size_t held_body_bytes = 0;
     duration idle_timeout = std::chrono::seconds{60};
     duration header_timeout = std::chrono::seconds{5};
     duration body_timeout = std::chrono::seconds{10};
--- a/src/libmesh/admissionlevel.cpp
+++ b/src/libmesh/admissionlevel.cpp
@@ -14,6 +14,11 @@
 constexpr double immediate_gain = 1.0;
 constexpr double fall_gain = 1.0;
 constexpr double rise_gain = 1.5;
+/// Delay of the event loop that the level settles at. Each hop waits about that long, so it stays well below
+/// an eighth of the shortest latency objectives (37 ms); a tick of an idle node is late by less than 1 ms.
+constexpr double wanted_delay_ms = 8;
+/// Bound on the utilization of a delay, so that a suspended VM is back soon.
+constexpr double most_delay_utilization = 2;
 /// Time constant of the smoothed utilization.
 constexpr double smoothing_ms = 100;
 /// The level never closes entirely, so that answers keep telling it.
@@ -38,6 +43,10 @@
     it.level = std::clamp(it.sustained + immediate_gain * error, least_level, it.open);
 }
 
+double utilization_of_delay(span_of_time delay) {
+    return std::clamp(wanted_utilization * to_ms(delay) / wanted_delay_ms, 0.0, most_delay_utilization);
+}
+
 void observe_level(admission_knowledge& knowledge, std::string_view service, observed_level seen) {
     const auto [it, inserted] = knowledge.levels.try_emplace(std::string{service}, seen);
     if (inserted || seen.at <= it->second.at - std::chrono::milliseconds{200}) {
--- a/src/libmesh/admissionlevel.h
+++ b/src/libmesh/admissionlevel.h
@@ -20,6 +20,10 @@
 /// Moves the level after `elapsed` with the given utilization (calls running and waiting over usable slots).
 void update_level(level_control& it, double utilization, span_of_time elapsed);
 
+/// Returns the utilization that a delay of the event loop stands for: how late its timers run. A node whose
+/// processor is busy gets behind long before its target's slots are taken.
+double utilization_of_delay(span_of_time delay);
+
 /// Level of a service as told along the answers.
 struct observed_level {
     double level = 0;
--- a/src/libmesh/localruns.cpp
+++ b/src/libmesh/localruns.cpp
@@ -27,7 +27,7 @@
     it.load = current_load(state);
     it.accepting = accepts_calls(state);
     it.config_version = config_version(state);
-    it.levels[state.settings.service] = {state.level.level, now};
+    it.levels[state.settings.service] = {told_level(state), now};
     for (const auto& [service, ms] : it.costs) {
         const auto found = state.knowledge.levels.find(service);
         if (service != state.settings.service && found != state.knowledge.levels.end()) {
--- a/src/libmesh/meshnode.cpp
+++ b/src/libmesh/meshnode.cpp
@@ -32,12 +32,24 @@
 /// Part of a target's connections that the node beside it uses at most; health checks use others.
 constexpr std::size_t spare_connections = 8;
 
-http_server_options server_options() {
+/// Part of the VM's memory that bodies may take in each of the two servers that carry calls. The rest of a
+/// node took 11 to 50 MB on the users' days.
+constexpr std::size_t memory_share = 4;
+/// Return of a caller whose body found no room, in seconds: some bodies are through by then.
+constexpr std::string_view memory_retry_after = "0.3";
+
+http_server_options server_options(std::size_t memory_bytes) {
     http_server_options it;
     it.limits.header_bytes = 64 * 1024;
     it.limits.body_bytes = 64 * 1024 * 1024;
     it.limits.header_count = 128;
+    it.held_body_bytes = memory_bytes / memory_share;
     it.on_read_error = [](http_read_error cause) {
+        if (cause == http_read_error::memory_short) {
+            auto refusal = json_response(503, R"({"error":"memory-short"})");
+            refusal.headers.emplace_back("Retry-After", memory_retry_after);
+            return refusal;
+        }
         const unsigned status = cause == http_read_error::header_too_large ? 431
                                 : cause == http_read_error::body_too_large ? 413
                                 : cause == http_read_error::timeout        ? 408
@@ -107,7 +119,7 @@
 
 result<void> mesh_node::listen() {
     const auto& addresses = state_.settings.listen;
-    const auto options = server_options();
+    const auto options = server_options(state_.settings.memory_bytes);
     BOOST_OUTCOME_TRYV(
         add_server(addresses.outbound, options,
                    [this](http_request request, const std::shared_ptr<http_exchange>& exchange) {
@@ -226,6 +238,8 @@
     it.set_gauge("running", state_.gate.running);
     it.set_gauge("waiting", static_cast<double>(state_.gate.waiting.size()));
     it.set_gauge("admission_level", state_.level.level);
+    it.set_gauge("processor_level", state_.processor_level.level);
+    it.set_gauge("loop_delay_ms", to_ms(loop_delay_));
     it.set_gauge("slowness", state_.gate.slowness);
     it.set_gauge("config_version", static_cast<double>(config_version(state_)));
     it.set_gauge("targets", static_cast<double>(state_.targets.by_node.size()));
@@ -236,8 +250,11 @@
 
 void mesh_node::tick() {
     const auto now = boot_clock::now();
-    tick_local_runs(state_, now - last_tick_);
+    const auto elapsed = now - last_tick_;
     last_tick_ = now;
+    loop_delay_ = std::max(span_of_time{}, elapsed - tick_interval);
+    tick_local_runs(state_, elapsed);
+    update_level(state_.processor_level, utilization_of_delay(loop_delay_), elapsed);
     expire_outbound(state_);
     tick_verification(state_, [this] { directory_.publish_own_entry([](bool) {}); });
     apply_limits();
@@ -250,10 +267,12 @@
 }
 
 void mesh_node::log_level() {
-    if (state_.level.level >= state_.level.open) {
+    if (told_level(state_) >= state_.level.open) {
         return;
     }
     state_.log.write("admission-level", {{"level", state_.level.level},
+                                         {"processor_level", state_.processor_level.level},
+                                         {"loop_delay_ms", to_ms(loop_delay_)},
                                          {"open", state_.level.open},
                                          {"utilization", state_.level.smoothed},
                                          {"running", state_.gate.running},
--- a/src/libmesh/meshstate.cpp
+++ b/src/libmesh/meshstate.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace baobabswitch {
 
 namespace {
@@ -50,6 +52,10 @@
     return std::uniform_real_distribution<double>{0, 1}(state.random);
 }
 
+double told_level(const mesh_state& state) {
+    return std::min(state.level.level, state.processor_level.level);
+}
+
 std::uint64_t config_version(const mesh_state& state) {
     return state.config ? state.config->config.version : 0;
 }
@@ -72,11 +78,13 @@
     check(state.invariants, invariant::config_monotonic, it->config.version > previous, source);
     state.config = it;
     const double open = open_level(it->config);
-    if (state.level.sustained >= state.level.open) {
-        state.level.sustained = open;
-        state.level.level = open;
+    for (auto* it : {&state.level, &state.processor_level}) {
+        if (it->sustained >= it->open) {
+            it->sustained = open;
+            it->level = open;
+        }
+        it->open = open;
     }
-    state.level.open = open;
     state.knowledge.open = open;
     state.log.write("config-adopted", {{"version", it->config.version},
                                        {"previous", previous},
--- a/src/libmesh/meshstate.h
+++ b/src/libmesh/meshstate.h
@@ -106,7 +106,8 @@
 
     local_target target;
     target_gate gate;
-    level_control level;
+    level_control level;           ///< by the slots of the local target
+    level_control processor_level; ///< by the delay of this node's event loop
     std::unordered_map<run_id, local_run> runs;
     std::unordered_map<std::string, run_id> runs_by_request; ///< calls in the target
     run_id last_run = 0;
@@ -132,6 +133,8 @@
 
 /// Returns a uniform number in [0, 1).
 double uniform(mesh_state& state);
+/// Returns the level that this node tells of its service: the lower of its target's and its own.
+double told_level(const mesh_state& state);
 /// Returns the version in force, 0 if none.
 std::uint64_t config_version(const mesh_state& state);
 /// Puts a configuration in force if it is newer than the one in force. Returns whether it did.
--- a/src/libmesh/outboundcalls.cpp
+++ b/src/libmesh/outboundcalls.cpp
@@ -212,7 +212,9 @@
     auto& response = std::get<http_response>(answer);
     const auto text = find_header(response.headers, hop_header);
     if (!text) {
-        it.reason = "hop-garbage";
+        // A node that is short of memory refuses before it reads the request.
+        it.outcome = response.status == 503 ? hop_outcome::not_run : hop_outcome::unknown;
+        it.reason = response.status == 503 ? "node-memory-short" : "hop-garbage";
         return it;
     }
     auto decoded = decode_hop_result(*text, now);
@@ -379,7 +381,10 @@
     if (call.nested) {
         return true;
     }
-    const auto level = level_for_route(state.knowledge, route_of(call).name, boot_clock::now());
+    auto level = level_for_route(state.knowledge, route_of(call).name, boot_clock::now());
+    if (state.processor_level.level < level.level) {
+        level = {state.processor_level.level, "processor of this node", {}};
+    }
     if (call.position < level.level) {
         return true;
     }
--- a/src/libmesh/platformport.h
+++ b/src/libmesh/platformport.h
@@ -57,6 +57,7 @@
     endpoint store;
     bool first_start = false; ///< the whole system starts for the first time
     retry_bounds retries;
+    std::size_t memory_bytes = 0;                     ///< of the VM, for this node; 0: not known
     span_of_time stop_time = std::chrono::seconds{6}; ///< from SIGTERM to SIGKILL
 };
 
--- a/tests/adapter/test_decoding.cpp
+++ b/tests/adapter/test_decoding.cpp
@@ -55,6 +55,7 @@
     CHECK(it.value().listen.control == endpoint{"127.0.0.1", 8306});
     CHECK(it.value().listen.metrics == endpoint{"127.0.0.1", 7620});
     CHECK(it.value().retries.slack == 49);
+    CHECK(it.value().memory_bytes == 260'000'000);
     CHECK(it.value().stop_time == std::chrono::seconds{6});
 }
 
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -153,6 +153,53 @@
     CHECK(status == 413);
 }
 
+// Guards against a VM whose memory runs out by many large bodies at a time.
+TEST_CASE("bodies past what the server may hold are refused until others are through", "[http]") {
+    event_loop loop;
+    std::vector<std::shared_ptr<http_exchange>> held;
+    http_server_options options;
+    options.held_body_bytes = 100'000;
+    options.on_read_error = [](http_read_error cause) {
+        return json_response(cause == http_read_error::memory_short ? 503 : 400, "{}");
+    };
+    auto server =
+        http_server::listen(loop, {"127.0.0.1", 0}, options,
+                            [&](const http_request&, const std::shared_ptr<http_exchange>& exchange) {
+                                held.push_back(exchange);
+                            });
+    REQUIRE(server);
+    const endpoint address{"127.0.0.1", server.value()->port()};
+    http_client client{loop, {}};
+    std::vector<unsigned> statuses;
+    const auto upload = [&](std::size_t bytes) {
+        client.send(address, {"POST", "/", {}, std::string(bytes, 'x')}, long_timeout,
+                    [&](const http_result& it) {
+                        const auto* answer = std::get_if<http_response>(&it);
+                        statuses.push_back(answer == nullptr ? 0 : answer->status);
+                    });
+    };
+    const auto run_for = [&](milliseconds time) {
+        loop.schedule(time, [&] { loop.stop(); });
+        loop.run();
+    };
+    upload(60'000);
+    run_for(milliseconds{50});
+    upload(60'000);
+    run_for(milliseconds{50});
+    CHECK(held.size() == 1);
+    CHECK(statuses == std::vector{503U});
+    held.front()->respond({200, {}, ""});
+    held.clear();
+    run_for(milliseconds{50});
+    // One body alone is taken even if it is larger than the bound.
+    upload(150'000);
+    run_for(milliseconds{50});
+    CHECK(held.size() == 1);
+    held.front()->respond({200, {}, ""});
+    run_for(milliseconds{50});
+    CHECK(statuses == std::vector{503U, 200U, 200U});
+}
+
 TEST_CASE("a client that sends too slowly gets a typed answer", "[http]") {
     // Guards against slow senders that hold connections, and against a silent close.
     event_loop loop;
--- a/tests/mesh/test_admissionlevel.cpp
+++ b/tests/mesh/test_admissionlevel.cpp
@@ -45,6 +45,22 @@
     CHECK(it.level > 2.3);
 }
 
+// Guards against a busy processor that no level tells of, and against one pause that closes the entry for
+// long.
+TEST_CASE("a delayed event loop counts as utilization") {
+    CHECK(utilization_of_delay(milliseconds{0}) == 0);
+    CHECK(utilization_of_delay(milliseconds{2}) < 0.5);
+    CHECK(utilization_of_delay(milliseconds{20}) > 1.5);
+    CHECK(utilization_of_delay(std::chrono::seconds{3}) <= 2);
+    level_control it;
+    it.level = it.sustained = it.open = 3;
+    update_level(it, utilization_of_delay(std::chrono::seconds{3}), std::chrono::seconds{3});
+    for (int n = 0; n < 8; ++n) {
+        update_level(it, utilization_of_delay(milliseconds{0}), milliseconds{50});
+    }
+    CHECK(it.level == 3);
+}
+
 // Guards against requests that enter although a service that they call further down has no room.
 TEST_CASE("a route's level is the lowest among the services that it causes work at") {
     admission_knowledge knowledge;
--- a/tests/mesh/test_day.cpp
+++ b/tests/mesh/test_day.cpp
@@ -109,6 +109,38 @@
     CHECK(it.targets[1]->most_running <= 4);
 }
 
+// Guards against a node whose processor is too slow for its calls and that admits more of them: its answers
+// come late, and calls that others have given up go on to the target.
+TEST_CASE("a node that is short of processor time admits less", "[day]") {
+    mesh_rig it{19};
+    set_up(it);
+    auto& node = it.nodes[0];
+    const auto stop = std::make_shared<std::atomic<bool>>(false);
+    const auto work = std::make_shared<std::function<void()>>();
+    *work = [stop, loop = node.loop.get(), work] {
+        if (!*stop) {
+            std::this_thread::sleep_for(milliseconds{40});
+            loop->schedule(milliseconds{1}, *work);
+        }
+    };
+    node.loop->post(*work);
+    it.run_for(milliseconds{1500});
+    std::vector<std::shared_ptr<rig_answer>> answers;
+    for (int n = 0; n < 20; ++n) {
+        answers.push_back(it.send(0, "GET", "/read/x", "b" + std::to_string(n)));
+        it.run_for(milliseconds{10});
+    }
+    *stop = true;
+    it.run_for(milliseconds{1200});
+    const auto refused = std::count_if(answers.begin(), answers.end(),
+                                       [](const auto& answer) { return answer->status == 503; });
+    CHECK(refused >= 5);
+    const auto after = it.send(0, "GET", "/read/x", "c");
+    it.run_for(milliseconds{200});
+    CHECK(after->status == 200);
+    *work = nullptr;
+}
+
 // Guards against a second run of a request that may not be repeated, and against a repeat that is not made
 // for one that may.
 TEST_CASE("only idempotent requests are sent again after their connection broke", "[day]") {
