--- a/src/libdeployment/deployment.h
+++ b/src/libdeployment/deployment.h
@@ -76,8 +76,8 @@
     /// Returns the VMs of a service.
     std::vector<std::size_t> vms_of(const std::string& service) const;
 
-    /// Replaces the rules of the proxy (src/libfaultproxy/rules.h); the latency between domains stays. Returns
-    /// whether the proxy accepted them. Needs options.proxied.
+    /// Replaces the rules of the proxy (src/libfaultproxy/rules.h); the latency between domains stays.
+    /// Returns whether the proxy accepted them. Needs options.proxied.
     bool set_faults(const nlohmann::json& rules) const;
     /// Returns how often the proxy injected each fault.
     nlohmann::json fault_counts() const;
--- a/tests/mesh/test_day.cpp
+++ b/tests/mesh/test_day.cpp
@@ -378,6 +378,31 @@
     ::close(listener);
 }
 
+// Guards against "may have run" for a call that the other node refused before it read it: it is out of
+// memory.
+TEST_CASE("a call that a node refuses unread goes to another target", "[day]") {
+    mesh_rig it{20};
+    it.publish(1);
+    it.add("back", "east", 10);
+    it.add("front", "west", 10);
+    auto refusing =
+        http_server::listen(it.loop, {"127.77.20.99", 18300}, {},
+                            [](const http_request&, const std::shared_ptr<http_exchange>& exchange) {
+                                exchange->respond(json_response(503, "{}"));
+                            });
+    REQUIRE(refusing);
+    it.store.put(
+        "targets", "nx",
+        R"({"peer":"127.77.20.99:18300","domain":"east","service":"front","instance":"tx","slots":5,)"
+        R"("accepting":true,"leaving":false,"started_ms":1})");
+    it.announce(1, 1);
+    it.run_for(milliseconds{600});
+    const auto answer = it.send(0, "POST", "/write/x", "w1");
+    it.run_for(milliseconds{300});
+    CHECK(answer->status == 200);
+    CHECK(it.targets[1]->runs["w1"] == 1);
+}
+
 // Guards against requests hidden inside another one, and against ambiguous messages that reach a target.
 TEST_CASE("ambiguous requests are refused", "[day]") {
     mesh_rig it{15};
