--- a/src/libsoak/soak.cpp
+++ b/src/libsoak/soak.cpp
@@ -1,17 +1,12 @@
 #include "soak.h"
 
-#include "childprocess.h"
-#include "metadatastandin.h"
-#include "proxy.h"
-#include "soaktarget.h"
+#include "soakrun.h"
 
-#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
-#include <random>
 
 #include <unistd.h>
 
@@ -21,119 +16,18 @@
 
 using nlohmann::json;
 
-constexpr std::uint16_t first_port = 18400;
 constexpr milliseconds heartbeat{500};
 constexpr milliseconds send_interval{25}; ///< of one VM's callers
 constexpr milliseconds probe_interval{300};
 constexpr milliseconds watch_interval{20};
-constexpr unsigned burst_factor = 6;
 constexpr unsigned deadline_ms = 1500;
 /// Bounds that the settings file states, in seconds; the values are those of the users' sites.
-constexpr double grace_s = 6;
 constexpr double config_apply_s = 2;
 constexpr double recovery_s = 15;
 /// Time at the end in which every request must be served.
 constexpr double verdict_s = 3;
 
-/// A VM: a node as a process of its own, and its target.
-struct soak_vm {
-    std::string name;
-    std::string settings_file;
-    std::string log_file;
-    endpoint outbound;
-    pid_t node = 0;      ///< 0: not running
-    unsigned starts = 0; ///< of the node
-    bool ending = false; ///< it got a signal that ends it
-    bool paused = false;
-    moment undisturbed_since{};     ///< node neither started, paused nor stopped since
-    std::uint64_t version_seen = 0; ///< newest configuration seen in force in this start of the node
-    soak_target target;
-};
-
-class soak {
-public:
-    explicit soak(soak_options options)
-        : options_(std::move(options)),
-          random_(options_.seed),
-          client_(loop_, client_options()),
-          context_{loop_, client_, ledger_} {}
-
-    result<void> set_up();
-    soak_report run();
-
-private:
-    static http_client_options client_options() {
-        http_client_options it;
-        it.connections_per_endpoint = 512;
-        it.connects_per_endpoint = 64;
-        return it;
-    }
-
-    double uniform() {
-        return std::uniform_real_distribution<double>{0, 1}(random_);
-    }
-    milliseconds between(int least, int most) {
-        return milliseconds{std::uniform_int_distribution<int>{least, most}(random_)};
-    }
-    soak_vm& any_vm() {
-        return *vms_[std::uniform_int_distribution<std::size_t>{0, vms_.size() - 1}(random_)];
-    }
-    result<void> add_vm(unsigned n);
-    void start_node(soak_vm& it);
-    void signal_node(soak_vm& it, int signal);
-    void watch_nodes();
-    /// Puts a rule in force for a while; it replaces the one of that name.
-    void disturb(const std::string& name, const fault_rule& rule, milliseconds time);
-    void apply_rules();
-    void publish();
-    void send_requests();
-    void send_request(soak_vm& it);
-    void probe(soak_vm& it);
-    void judge_probe(soak_vm& it, unsigned start, std::uint64_t version, unsigned status);
-    void inject();
-    void end_faults();
-    void read_logs();
-
-    void kill_node(soak_vm& it);
-    void pause_node(soak_vm& it);
-    void stop_node(soak_vm& it);
-    void reload_node(soak_vm& it);
-    void replace_target(soak_vm& it);
-    void restart_target(soak_vm& it);
-    void disturb_target(soak_vm& it);
-    void slow_target(soak_vm& it);
-    void disturb_store(soak_vm& it);
-    void cut_store(soak_vm& it);
-    void forget_history(soak_vm& it);
-    void burst(soak_vm& it);
-    void change_config(soak_vm& it);
-
-    soak_options options_;
-    std::mt19937_64 random_;
-    event_loop loop_;
-    http_client client_;
-    soak_ledger ledger_;
-    target_context context_;
-    std::unique_ptr<metadata_standin> store_;
-    std::unique_ptr<fault_proxy> proxy_;
-    std::map<std::string, fault_rule> rules_; ///< in force, by the name of what they disturb
-    std::vector<std::unique_ptr<soak_vm>> vms_;
-    std::map<std::string, unsigned> faults_;
-    std::uint64_t last_request_ = 0;
-    std::uint64_t version_ = 0;
-    moment published_at_{};
-    moment store_well_since_{};
-    bool store_disturbed_ = false;
-    unsigned load_ = 1;
-    bool quiet_ = false;   ///< faults are over
-    bool verdict_ = false; ///< every request must be served
-};
-
-duration seconds_span(double seconds) {
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
-}
-
-/// Ports of a VM, from first_port on.
+/// Ports of a VM, from soak_first_port on.
 constexpr unsigned port_inbound = 0;
 constexpr unsigned port_target = 1;
 constexpr unsigned port_ready = 2;
@@ -142,26 +36,20 @@
 constexpr unsigned port_metrics = 8;
 constexpr unsigned port_behind_proxy = 11; ///< the target itself
 constexpr unsigned port_store = 12;        ///< the way to the store
-constexpr unsigned store_host = 250;
-
-std::string host_of(std::uint64_t seed, unsigned n) {
-    return "127.88." + std::to_string(seed % 250 + 1) + "." + std::to_string(n);
-}
 
 endpoint port_of(const std::string& host, unsigned n) {
-    return {host, static_cast<std::uint16_t>(first_port + n)};
+    return {host, static_cast<std::uint16_t>(soak_first_port + n)};
 }
 
-/// Returns a rule without faults for connections that a VM's host takes part in.
-fault_rule rule_for(const std::string& source, const endpoint& destination) {
-    fault_rule it;
-    it.source = parse_prefix(source).value();
-    it.destination = parse_prefix(destination.host).value();
-    it.port = destination.port;
-    return it;
+} // namespace
+
+std::string soak_host(std::uint64_t seed, unsigned n) {
+    return "127.88." + std::to_string(seed % 250 + 1) + "." + std::to_string(n);
 }
 
-const std::string any_source = "0.0.0.0/0";
+duration seconds_span(double seconds) {
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
 
 result<void> soak::set_up() {
     std::error_code ec;
@@ -170,7 +58,8 @@
         return error{error_kind::bad_settings, "can't make the folder " + options_.folder,
                      "name another one with --folder"};
     }
-    auto store = metadata_standin::create(loop_, {host_of(options_.seed, store_host), first_port});
+    auto store =
+        metadata_standin::create(loop_, {soak_host(options_.seed, soak_store_host), soak_first_port});
     if (!store) {
         return store.error();
     }
@@ -178,9 +67,10 @@
     publish();
     std::vector<forwarding> pairs;
     for (unsigned n = 0; n < options_.vms; ++n) {
-        const auto host = host_of(options_.seed, n + 1);
+        const auto host = soak_host(options_.seed, n + 1);
         pairs.push_back({port_of(host, port_target), port_of(host, port_behind_proxy)});
-        pairs.push_back({port_of(host, port_store), {host_of(options_.seed, store_host), first_port}});
+        pairs.push_back(
+            {port_of(host, port_store), {soak_host(options_.seed, soak_store_host), soak_first_port}});
     }
     auto proxy = fault_proxy::create(loop_, pairs, options_.seed);
     if (!proxy) {
@@ -195,7 +85,7 @@
 
 result<void> soak::add_vm(unsigned n) {
     auto it = std::make_unique<soak_vm>();
-    const auto host = host_of(options_.seed, n + 1);
+    const auto host = soak_host(options_.seed, n + 1);
     it->name = "vm-" + std::to_string(n);
     it->settings_file = options_.folder + "/" + it->name + ".json";
     it->log_file = options_.folder + "/" + it->name + ".log";
@@ -207,27 +97,28 @@
     target.outbound = port_of(host, port_outbound);
     target.service = n % 2 == 0 ? "front" : "back";
     target.domain = n / 2 % 2 == 0 ? "east" : "west";
-    const json settings{{"self",
-                         {{"node_name", it->name},
-                          {"ip", host},
-                          {"zone", target.domain},
-                          {"bootstrap", true},
-                          {"app_addr", to_string(target.address)},
-                          {"service", target.service}}},
-                        {"network",
-                         {{"listen",
-                           {{"inbound", to_string(port_of(host, port_inbound))},
-                            {"outbound", to_string(target.outbound)},
-                            {"ready", to_string(port_of(host, port_ready))},
-                            {"control", to_string(target.control)}}},
-                          {"port_range", {first_port + port_metrics, first_port + port_metrics + 2}}}},
-                        {"platform", {{"platform", {{"address", to_string(port_of(host, port_store))}}}}},
-                        {"terms",
-                         {{"bounds",
-                           {{"grace_s", grace_s},
-                            {"retry_budget_ratio", 0.2},
-                            {"budget_slack", 49},
-                            {"budget_window_s", 10}}}}}};
+    const json settings{
+        {"self",
+         {{"node_name", it->name},
+          {"ip", host},
+          {"zone", target.domain},
+          {"bootstrap", true},
+          {"app_addr", to_string(target.address)},
+          {"service", target.service}}},
+        {"network",
+         {{"listen",
+           {{"inbound", to_string(port_of(host, port_inbound))},
+            {"outbound", to_string(target.outbound)},
+            {"ready", to_string(port_of(host, port_ready))},
+            {"control", to_string(target.control)}}},
+          {"port_range", {soak_first_port + port_metrics, soak_first_port + port_metrics + 2}}}},
+        {"platform", {{"platform", {{"address", to_string(port_of(host, port_store))}}}}},
+        {"terms",
+         {{"bounds",
+           {{"grace_s", soak_grace_s},
+            {"retry_budget_ratio", 0.2},
+            {"budget_slack", 49},
+            {"budget_window_s", 10}}}}}};
     std::ofstream{it->settings_file} << settings.dump();
     BOOST_OUTCOME_TRYV(open_target(context_, target));
     start_target(target);
@@ -403,173 +294,6 @@
     }
 }
 
-void soak::kill_node(soak_vm& it) {
-    it.ending = true;
-    signal_node(it, SIGKILL);
-}
-
-void soak::pause_node(soak_vm& it) {
-    if (it.paused) {
-        return;
-    }
-    it.paused = true;
-    signal_node(it, SIGSTOP);
-    loop_.schedule(between(100, 3000), [this, &it, start = it.starts] {
-        if (start == it.starts) {
-            it.paused = false;
-            signal_node(it, SIGCONT);
-        }
-    });
-}
-
-void soak::stop_node(soak_vm& it) {
-    if (it.paused || it.ending) {
-        return;
-    }
-    it.ending = true;
-    signal_node(it, SIGTERM);
-    loop_.schedule(seconds_span(grace_s), [this, &it, start = it.starts] {
-        if (start == it.starts && it.node != 0 && !it.paused) {
-            ledger_.violations.push_back("node " + it.name + ": still there 6 s after SIGTERM");
-            signal_node(it, SIGKILL);
-        }
-    });
-}
-
-void soak::reload_node(soak_vm& it) {
-    signal_node(it, SIGHUP);
-}
-
-/// The target says that it leaves, goes on for a while, ends, and another one starts in its place.
-void soak::replace_target(soak_vm& it) {
-    auto& target = it.target;
-    if (!target.up || target.leaving) {
-        return;
-    }
-    target.leaving = true;
-    announce_target(context_, target);
-    loop_.schedule(between(3000, 5000), [this, &it, instance = target.instance] {
-        if (it.target.instance == instance) {
-            restart_target(it);
-        }
-    });
-}
-
-void soak::restart_target(soak_vm& it) {
-    if (!it.target.up) {
-        return;
-    }
-    crash_target(it.target);
-    const auto down = between(50, 800);
-    auto rule = rule_for(any_source, it.target.listen);
-    rule.cut = true;
-    disturb("target " + it.name, rule, down);
-    loop_.schedule(down + milliseconds{1}, [this, &it] {
-        start_target(it.target);
-        announce_target(context_, it.target);
-    });
-}
-
-/// Breaks off, spoils, delays or loses what the target and its node say to each other.
-void soak::disturb_target(soak_vm& it) {
-    auto rule = rule_for(any_source, it.target.listen);
-    switch (random_() % 6) {
-    case 0:
-        rule.cut_after_request = 0.3;
-        break;
-    case 1:
-        rule.half_answer = 0.3;
-        break;
-    case 2:
-        rule.garbage_answer = 0.3;
-        break;
-    case 3:
-        rule.lose_to = true;
-        break;
-    case 4:
-        rule.lose_back = true;
-        break;
-    default:
-        rule.delay_ms = 40;
-        rule.jitter_ms = 100;
-        break;
-    }
-    disturb("target " + it.name, rule, between(500, 2500));
-}
-
-void soak::slow_target(soak_vm& it) {
-    const auto usual = it.target.work;
-    it.target.work = usual * 8;
-    loop_.schedule(between(500, 2500), [&it, usual] { it.target.work = usual; });
-}
-
-void soak::disturb_store(soak_vm& /*it*/) {
-    if (store_disturbed_) {
-        return;
-    }
-    constexpr std::array faults{store_fault::busy, store_fault::silent, store_fault::slow,
-                                store_fault::lost_answers};
-    store_disturbed_ = true;
-    store_->set_fault(faults.at(random_() % faults.size()));
-    loop_.schedule(between(500, 4000), [this] {
-        store_->set_fault(store_fault::none);
-        store_disturbed_ = false;
-        store_well_since_ = boot_clock::now();
-    });
-}
-
-/// Cuts one VM off from the store, or lets what they say vanish one way.
-void soak::cut_store(soak_vm& it) {
-    auto rule = rule_for(it.outbound.host, {host_of(options_.seed, store_host), first_port});
-    const auto kind = random_() % 3;
-    rule.cut = kind == 0;
-    rule.lose_to = kind == 1;
-    rule.lose_back = kind == 2;
-    const auto time = between(500, 4000);
-    it.undisturbed_since = boot_clock::now() + time;
-    disturb("store " + it.name, rule, time);
-}
-
-void soak::forget_history(soak_vm& /*it*/) {
-    store_->forget_history();
-}
-
-void soak::burst(soak_vm& /*it*/) {
-    load_ = burst_factor;
-    loop_.schedule(between(300, 1500), [this] { load_ = 1; });
-}
-
-void soak::change_config(soak_vm& /*it*/) {
-    publish();
-}
-
-void soak::inject() {
-    if (quiet_) {
-        return;
-    }
-    struct fault_kind {
-        const char* name;
-        void (soak::*inject)(soak_vm&);
-    };
-    static constexpr std::array<fault_kind, 13> kinds{{{"node killed", &soak::kill_node},
-                                                       {"node paused", &soak::pause_node},
-                                                       {"node stopped", &soak::stop_node},
-                                                       {"node reloaded", &soak::reload_node},
-                                                       {"target replaced", &soak::replace_target},
-                                                       {"target crashed", &soak::restart_target},
-                                                       {"target disturbed", &soak::disturb_target},
-                                                       {"target slowed", &soak::slow_target},
-                                                       {"store disturbed", &soak::disturb_store},
-                                                       {"store cut off", &soak::cut_store},
-                                                       {"history forgotten", &soak::forget_history},
-                                                       {"burst", &soak::burst},
-                                                       {"configuration changed", &soak::change_config}}};
-    const auto& kind = kinds.at(random_() % kinds.size());
-    ++faults_[kind.name];
-    (this->*kind.inject)(any_vm());
-    loop_.schedule(between(100, 1200), [this] { inject(); });
-}
-
 void soak::end_faults() {
     quiet_ = true;
     load_ = 1;
@@ -620,8 +344,6 @@
     return report;
 }
 
-} // namespace
-
 result<soak_report> run_soak(const soak_options& options) {
     if (options.vms < 4 || options.vms > 200 || options.seconds < recovery_s + verdict_s + 2) {
         return error{error_kind::bad_settings, "the size or the length of the run is out of range",
--- a/src/libsoak/soaktarget.h
+++ b/src/libsoak/soaktarget.h
@@ -10,6 +10,8 @@
 
 namespace baobabswitch {
 
+constexpr milliseconds usual_work{15};
+
 /// A target beside a node: runs requests, calls the service "back" for those of "front", and announces itself
 /// to its node until that acknowledged that it leaves.
 struct soak_target {
@@ -28,7 +30,7 @@
     bool leaving = false;
     std::optional<moment> left_at; ///< its leaving was acknowledged
     bool up = false;
-    milliseconds work{15};
+    milliseconds work = usual_work; ///< time that a request takes, without its calls
     std::unique_ptr<http_server> server;
 };
 
