Refuse callers that stay at a stopping node

Its callers had not left, since readiness does not move them while more than half of a domain's nodes are out, so it never became idle. Change: from 2.6 s after SIGTERM on, new requests of callers are refused with 503 and the end of the connection; calls of running targets go on. Test: a stopping node with callers that stay; failed before (a request without an answer had run), passes now.

--- a/src/libmesh/meshnode.cpp
+++ b/src/libmesh/meshnode.cpp
@@ -20,6 +20,7 @@
 /// Longest time that the answer to a leaving target waits for the store: targets expect it within 1 s.
 constexpr milliseconds acknowledgement_wait{500};
 /// Least time from SIGTERM to the end: callers ask for readiness once a second and leave after two misses.
+/// From then on callers that stay are refused, since a request taken late could not end before SIGKILL.
 constexpr milliseconds least_stop_time{2600};
 /// Times from SIGTERM at which other nodes are told to send no more calls, and at which calls are refused.
 /// Until then the target goes on working: during the rest of the stop it is idle.
@@ -305,6 +306,7 @@
         state_.gate_closed = true;
         refuse_queued_runs(state_, "node-stopping");
     });
+    loop_.schedule(least_stop_time, [this] { state_.entry_closed = true; });
     if (state_.target.leaving) {
         directory_.withdraw_own_entry([] {});
     }
--- a/src/libmesh/meshstate.h
+++ b/src/libmesh/meshstate.h
@@ -122,9 +122,10 @@
 
     std::map<endpoint, moment> last_push; ///< of the own knowledge to uninformed peers
 
-    bool stopping = false;    ///< the process ends soon; callers are told to leave
-    bool withdrawing = false; ///< other nodes are told to send no more calls
-    bool gate_closed = false; ///< the local target gets no new calls, since the process ends
+    bool stopping = false;     ///< the process ends soon; callers are told to leave
+    bool withdrawing = false;  ///< other nodes are told to send no more calls
+    bool entry_closed = false; ///< callers get no new request in, since the process ends
+    bool gate_closed = false;  ///< the local target gets no new calls, since the process ends
     /// Called when a peer or an answer shows that a newer configuration exists.
     std::function<void(std::uint64_t version, const endpoint& peer)> on_newer_config;
     /// Called when a peer turns out to know no configuration.
--- a/src/libmesh/outboundcalls.cpp
+++ b/src/libmesh/outboundcalls.cpp
@@ -451,6 +451,10 @@
     request.headers = forwarded_request_headers(request.headers, state.port.headers);
     call.request = std::move(request);
     place(state, call, deadline);
+    if (state.entry_closed && !call.nested) {
+        answer_own(state, call, 503, "node-stopping");
+        return;
+    }
     if (!admit(state, call)) {
         return;
     }
--- a/tests/mesh/test_day.cpp
+++ b/tests/mesh/test_day.cpp
@@ -283,6 +283,33 @@
     CHECK(it.targets[0]->runs.count("w3") == 0);
 }
 
+// Guards against requests that a stopping node takes until its end and then cuts off, when callers do not
+// leave.
+TEST_CASE("a stopping node refuses callers that stay, and cuts off none", "[day]") {
+    mesh_rig it{21};
+    set_up(it);
+    for (auto& target : it.targets) {
+        target->work = milliseconds{250};
+    }
+    it.stop_node(2);
+    std::vector<std::shared_ptr<rig_answer>> answers;
+    const auto stopping = boot_clock::now();
+    unsigned serial = 0;
+    while (boot_clock::now() - stopping < from_ms(5300)) {
+        answers.push_back(it.send(2, "POST", "/write/x", "s" + std::to_string(serial++)));
+        it.run_for(milliseconds{100});
+    }
+    it.run_for(milliseconds{1000});
+    const auto refused = std::count_if(answers.begin(), answers.end(),
+                                       [](const auto& answer) { return answer->status == 503; });
+    CHECK(refused >= 1);
+    for (unsigned n = 0; n < serial; ++n) {
+        // No answer at all is a refused connection after the end; then the request must not have run.
+        INFO("s" << n << " " << answers[n]->status);
+        CHECK((answers[n]->status == 200) == (total_runs(it, "s" + std::to_string(n)) == 1));
+    }
+}
+
 // Guards against a node without a configuration that denies a request for good.
 TEST_CASE("a node that knows no configuration answers 503, never 404", "[day]") {
     mesh_rig it{11};
