Show that the store answers before each long watch

A store that goes silent swallows the next watch, which fails only after 21 s; all nodes had one. Change: a watch of 1 ms on stale data goes first. Test: a new version after a silent store; failed before.

--- a/src/libmesh/directory.cpp
+++ b/src/libmesh/directory.cpp
@@ -15,11 +15,14 @@
 /// Longest wait of a watch. Each costs a call; a connection that went silent is noticed by its keep-alive
 /// probes within 3 s.
 constexpr std::chrono::seconds watch_wait{20};
+/// Wait of the watch that shows whether the store answers, the shortest there is.
+constexpr milliseconds probe_wait{1};
 /// Pauses between a watch's answer and the next one, so that a burst of changes costs few calls. A
 /// configuration must be in force soon; news of targets may be older, since the node beside a target decides.
 constexpr milliseconds config_pause{60};
 constexpr milliseconds target_pause{400};
-/// Pauses after a failure grow from the first to the longest and are spread over as much again.
+/// Pauses after a failure grow from the first to the longest, and are spread from half to one and a half of
+/// it.
 constexpr milliseconds first_pause{120};
 constexpr milliseconds longest_pause{700};
 
@@ -151,9 +154,15 @@
     });
 }
 
+/// Waits for changes. A store that went silent swallows a watch, which would be noticed only after its whole
+/// wait; so a short and cheap one shows first that the store answers.
 void directory::follow(collection& it) {
-    store_.watch(it.kind, it.revision, watch_wait, it.wanted,
-                 [this, &it, alive = alive_](result<object_list> changes) {
+    watch(it, probe_wait, freshness::stale);
+}
+
+void directory::watch(collection& it, span_of_time wait, freshness wanted) {
+    store_.watch(it.kind, it.revision, wait, wanted,
+                 [this, &it, wait, alive = alive_](result<object_list> changes) {
                      if (!*alive) {
                          return;
                      }
@@ -168,6 +177,10 @@
                      for (const auto& object : changes.value().objects) {
                          it.take(object);
                      }
+                     if (wait == probe_wait && changes.value().objects.empty()) {
+                         watch(it, watch_wait, it.wanted);
+                         return;
+                     }
                      state_.loop.schedule(it.pause, [this, &it, alive] {
                          if (*alive) {
                              follow(it);
@@ -179,7 +192,7 @@
 void directory::retry(collection& it, bool reload) {
     const auto base = std::min<milliseconds>(first_pause * (1U << std::min(it.failures, 4U)), longest_pause);
     ++it.failures;
-    const auto pause = std::chrono::duration_cast<duration>(from_ms(to_ms(base) * (1 + uniform(state_))));
+    const auto pause = std::chrono::duration_cast<duration>(from_ms(to_ms(base) * (0.5 + uniform(state_))));
     state_.loop.schedule(pause, [this, &it, reload, alive = alive_] {
         if (!*alive) {
             return;
--- a/tests/mesh/test_day.cpp
+++ b/tests/mesh/test_day.cpp
@@ -355,6 +355,23 @@
     }
 }
 
+// Guards against a node that misses a configuration for the whole wait of a watch that a silent store
+// swallowed (soak, seed 1).
+TEST_CASE("a new version is in force soon after the store was silent", "[day]") {
+    mesh_rig it{22};
+    set_up(it);
+    it.store.set_silent(true);
+    it.publish(2); // Waiting watches still get it; the next ones are swallowed.
+    it.run_for(milliseconds{1500});
+    it.store.set_silent(false);
+    it.publish(3);
+    // A call that was swallowed last takes 1.2 s to fail, and the pause after it up to 1.05 s.
+    it.run_for(milliseconds{2400});
+    for (std::size_t n = 0; n < 3; ++n) {
+        CHECK(it.version_of(n) == 3);
+    }
+}
+
 // Guards against a request that waits past its route's timeout.
 TEST_CASE("the route's timeout is answered on time", "[day]") {
     mesh_rig it{14};
