--- a/src/libsoak/soak.cpp
+++ b/src/libsoak/soak.cpp
@@ -237,6 +237,11 @@
                              ledger_, id, status,
                              std::string{header_or_empty(answer->headers, port_.headers.request_id)});
                      }
+                     // Every version has this route, so no answer may deny the request.
+                     if (status >= 300 && status < 500 && !promises_no_run(status)) {
+                         ledger_.violations.push_back("request " + id + " at " + name + ": denied by " +
+                                                      std::to_string(status));
+                     }
                      if (judged) {
                          judge_recovery(id, name, status);
                      }
