--- a/tests/integration/test_ctl.cpp
+++ b/tests/integration/test_ctl.cpp
@@ -1,6 +1,6 @@
 #include "configstore.h"
-#include "platformclient.h"
 #include "files.h"
+#include "platformclient.h"
 #include "standinplatform.h"
 
 #include <catch2/catch.hpp>
--- a/tests/integration/test_operators.cpp
+++ b/tests/integration/test_operators.cpp
@@ -1,7 +1,7 @@
 #include "configstore.h"
+#include "files.h"
 #include "mac.h"
 #include "platformclient.h"
-#include "files.h"
 #include "standinplatform.h"
 
 #include <catch2/catch.hpp>
