Bound the nesting and the numbers of JSON from other programs

Cause: one entry of kind targets that nests 150,000 arrays ended each node that read the list, since copying and printing a JSON value recurse; a figure like 1e400, a lone surrogate or odd metadata made the whole page unreadable, so the node listed for ever and followed nothing; slots of -5 became 4,294,967,291. Change: jsontext parses bounded text, splits lists into unparsed elements and checks each number's kind and range. Lists and changes are read element by element; unreadable ones are counted and left out. A node replaces an odd entry under its own name. Store calls are counted by purpose. Conclusion: no odd entry ends a node, hides a sound one or names a target.

--- a/src/libbaobabswitch/adminconfig.cpp
+++ b/src/libbaobabswitch/adminconfig.cpp
@@ -2,6 +2,7 @@
 
 #include "configdocument.h"
 #include "configstore.h"
+#include "jsontext.h"
 #include "peermessages.h"
 #include "rollout.h"
 
@@ -47,7 +48,7 @@
 
 /// Parses a request body and checks that it has a document.
 result<json> parse_body(std::string_view text) {
-    auto body = json::parse(text, nullptr, false);
+    auto body = parse_json_or_discard(text);
     if (!body.is_object()) {
         return malformed_body("is not a JSON object");
     }
--- a/src/libbaobabswitch/configdocument.cpp
+++ b/src/libbaobabswitch/configdocument.cpp
@@ -1,6 +1,7 @@
 #include "configdocument.h"
 
 #include "configschema.h"
+#include "jsontext.h"
 
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
@@ -78,7 +79,7 @@
 }
 
 result<configuration> parse_configuration(std::string_view text) {
-    const auto document = json::parse(text, nullptr, false);
+    const auto document = parse_json_or_discard(text);
     if (document.is_discarded()) {
         return error{error_kind::bad_document, "the document is not JSON",
                      "check commas, quotes and brackets"};
--- a/src/libbaobabswitch/configstore.cpp
+++ b/src/libbaobabswitch/configstore.cpp
@@ -2,6 +2,7 @@
 
 #include "configdocument.h"
 #include "httpmessage.h"
+#include "jsontext.h"
 #include "mac.h"
 
 #include <algorithm>
@@ -97,7 +98,7 @@
         if (!object) {
             return object.error();
         }
-        const auto block = entries_from_json(json::parse(object.value().value, nullptr, false));
+        const auto block = entries_from_json(parse_json_or_discard(object.value().value));
         if (!block) {
             return damaged_object_error(it->name);
         }
@@ -291,7 +292,7 @@
 }
 
 result<stored_config> parse_stored_config(std::string_view value, std::uint64_t object_version) {
-    const auto object = json::parse(value, nullptr, false);
+    const auto object = parse_json_or_discard(value);
     if (!object.is_object() || !object.contains("document") || !object.contains("recent")) {
         return damaged_object_error(config_object_name);
     }
--- a/src/libbaobabswitch/configsync.cpp
+++ b/src/libbaobabswitch/configsync.cpp
@@ -1,5 +1,6 @@
 #include "configsync.h"
 
+#include "jsontext.h"
 #include "storebudget.h"
 
 #include <xxhash.h>
@@ -60,7 +61,7 @@
 
 result<versioned_document> parse_stored_config(std::string_view value) {
     try {
-        auto object = json::parse(value);
+        auto object = parse_json_or_discard(value);
         return versioned_document{object.at("version").get<std::uint64_t>(),
                                   object.at("digest").get<std::string>(), std::move(object.at("document"))};
     } catch (const json::exception& ex) {
@@ -135,7 +136,7 @@
 result<bool> handle_config_response(config_sync& sync, std::string_view body, time_point now) {
     sync.fetch_started.reset();
     try {
-        auto answer = json::parse(body);
+        auto answer = parse_json_or_discard(body);
         versioned_document next{answer.at("v").get<std::uint64_t>(), answer.at("g").get<std::string>(), {}};
         if (sync.current && next.version <= sync.current->version) {
             sync.announced.reset();
--- a/src/libbaobabswitch/gossip.cpp
+++ b/src/libbaobabswitch/gossip.cpp
@@ -1,5 +1,6 @@
 #include "gossip.h"
 
+#include "jsontext.h"
 #include "log.h"
 
 #include <nlohmann/json.hpp>
@@ -667,7 +668,7 @@
 
 result<gossip_answer> receive_gossip(gossip_state& state, std::string_view body, time_point now) {
     try {
-        const auto message = json::parse(body);
+        const auto message = parse_json_or_discard(body);
         gossip_answer answer;
         const auto sender = message.at("f").get<std::string>();
         apply_message(state, message, std::nullopt, answer.messages, now);
@@ -708,7 +709,7 @@
                                     time_point now) {
     peer_messages out;
     try {
-        const auto message = json::parse(body);
+        const auto message = parse_json_or_discard(body);
         const auto sender = message.at("f").get<std::string>();
         if (!sent.node.empty() && sender != sent.node) {
             // Another node answers at this address, so the expected one is no longer there.
--- a/src/libbaobabswitch/node.cpp
+++ b/src/libbaobabswitch/node.cpp
@@ -2,6 +2,7 @@
 
 #include "entry.h"
 #include "files.h"
+#include "jsontext.h"
 #include "keyowner.h"
 #include "log.h"
 #include "peermessages.h"
@@ -112,7 +113,7 @@
         if (!text) {
             return text.error();
         }
-        document = nlohmann::json::parse(text.value(), nullptr, false);
+        document = parse_json_or_discard(text.value());
     }
     sharing_ = std::make_unique<sharing_service>(actors, state_, std::move(store), std::move(document));
     gossip();
@@ -229,12 +230,16 @@
 }
 
 void node::stop_when_idle() {
-    if (state_.calls.empty() && state_.pending_entries == 0 &&
-        clock::now() - drain_started_ >= min_drain_time) {
+    const bool idle = state_.calls.empty() && state_.pending_entries == 0 &&
+                      server_->busy_connections() == 0 && clock::now() - drain_started_ >= min_drain_time;
+    if (idle && !closing_connections_) {
+        // Requests that arrived on idle connections before these are closed are still answered.
+        closing_connections_ = true;
+        server_->stop_accepting();
+    } else if (idle) {
         log(log_level::info, "node", "no call is in flight; stopping");
         check(state_.invariants, invariant::graceful_stop,
               state_.calls.empty() && state_.pending_entries == 0, "stopped with calls in flight");
-        server_->stop_accepting();
         state_.loop.schedule(final_response_delay, [this] { state_.loop.stop(); });
         return;
     }
--- a/src/libbaobabswitch/node.h
+++ b/src/libbaobabswitch/node.h
@@ -48,6 +48,7 @@
     std::unique_ptr<http_server> server_;
     std::unique_ptr<sharing_service> sharing_;
     time_point drain_started_;
+    bool closing_connections_ = false; ///< last phase of a drain
 };
 
 } // namespace baobabswitch
--- a/src/libbaobabswitch/peermessages.cpp
+++ b/src/libbaobabswitch/peermessages.cpp
@@ -1,5 +1,6 @@
 #include "peermessages.h"
 
+#include "jsontext.h"
 #include "thresholds.h"
 
 #include <nlohmann/json.hpp>
@@ -242,7 +243,7 @@
     outcome.wait = milliseconds{std::min(wait, max_hop_timeout_ms)};
     outcome.response_call = header_or_empty(response.headers, "Baobab-Internal-Call");
     if (outcome.kind != outcome_kind::done && outcome.kind != outcome_kind::promised) {
-        const auto body = nlohmann::json::parse(response.body, nullptr, false);
+        const auto body = parse_json_or_discard(response.body);
         error cause{error_kind::internal, "the target's node reported no cause", "see that node's log"};
         if (body.is_object()) {
             const auto text = [&](const char* name) {
--- a/src/libbaobabswitch/platformclient.cpp
+++ b/src/libbaobabswitch/platformclient.cpp
@@ -1,5 +1,7 @@
 #include "platformclient.h"
 
+#include "jsontext.h"
+
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
@@ -71,7 +73,7 @@
     if (outcome->status != 200) {
         return status_error(*outcome, name, kind);
     }
-    auto body = json::parse(outcome->body, nullptr, false);
+    auto body = parse_json_or_discard(outcome->body);
     if (!body.is_object()) {
         return bad_answer("the body is not a JSON object", kind);
     }
--- a/src/libbaobabswitch/promises.cpp
+++ b/src/libbaobabswitch/promises.cpp
@@ -1,5 +1,7 @@
 #include "promises.h"
 
+#include "jsontext.h"
+
 #include <nlohmann/json.hpp>
 #include <sodium.h>
 
@@ -171,7 +173,7 @@
 
 result<promise_batch> batch_from_json(std::string_view text) {
     try {
-        const auto value = json::parse(text);
+        const auto value = parse_json_or_discard(text);
         promise_batch batch;
         value.at("holder").get_to(batch.holder);
         value.at("created_ms").get_to(batch.created_ms);
--- a/src/libbaobabswitch/rollout.cpp
+++ b/src/libbaobabswitch/rollout.cpp
@@ -1,5 +1,7 @@
 #include "rollout.h"
 
+#include "jsontext.h"
+
 #include <algorithm>
 
 namespace baobabswitch {
@@ -11,6 +13,8 @@
 using std::chrono::system_clock;
 
 constexpr std::string_view status_object_prefix = "status/";
+/// Latest time that system_clock can represent is in 2262; times of a status end before it.
+constexpr std::uint64_t max_time_ms = 9'000'000'000'000;
 
 const json* member(const json& object, const char* name) {
     const auto it = object.find(name);
@@ -33,7 +37,7 @@
 
 result<domain_rollout> evaluate_domain_status(std::string_view value, std::uint64_t accepted_version,
                                               system_clock::time_point now) {
-    const auto object = json::parse(value, nullptr, false);
+    const auto object = parse_json_or_discard(value);
     const auto* domain = member(object, "domain");
     const auto* least = member(object, "least_version");
     const auto* greatest = member(object, "greatest_version");
@@ -42,7 +46,8 @@
     const bool complete = domain != nullptr && domain->is_string() && least != nullptr &&
                           least->is_number_unsigned() && greatest != nullptr &&
                           greatest->is_number_unsigned() && time != nullptr && time->is_number_unsigned() &&
-                          members != nullptr && members->is_array();
+                          time->get<std::uint64_t>() <= max_time_ms && members != nullptr &&
+                          members->is_array();
     if (!complete) {
         return error{error_kind::malformed, "a domain's status in the platform is malformed",
                      "check that all nodes run the same version"};
--- a/src/libbaobabswitch/sharing.cpp
+++ b/src/libbaobabswitch/sharing.cpp
@@ -1,5 +1,6 @@
 #include "sharing.h"
 
+#include "jsontext.h"
 #include "log.h"
 
 #include <algorithm>
@@ -293,16 +294,20 @@
         if (!object) {
             continue;
         }
-        const auto status = json::parse(object.value().value, nullptr, false);
+        const auto status = parse_json_or_discard(object.value().value);
         const auto members = status.is_object() ? status.find("members") : status.end();
         if (members == status.end()) {
             continue;
         }
         for (const auto& entry : *members) {
-            const auto address = entry.is_object() && entry.value("state", "") != "down"
-                                     ? parse_endpoint(entry.value("address", ""))
-                                     : parse_endpoint("");
-            if (address) {
+            std::string state;
+            std::string text;
+            if (!read_field(entry, "state", state) || state == "down" ||
+                !read_field(entry, "address", text)) {
+                continue;
+            }
+            const auto address = parse_endpoint(text);
+            if (address && address.value().port != 0) {
                 peers.push_back(address.value());
             }
         }
--- a/src/libbaobabswitch/targetannouncement.cpp
+++ b/src/libbaobabswitch/targetannouncement.cpp
@@ -1,5 +1,7 @@
 #include "targetannouncement.h"
 
+#include "jsontext.h"
+
 #include <nlohmann/json.hpp>
 
 namespace baobabswitch {
@@ -36,7 +38,7 @@
 } // namespace
 
 result<local_target> parse_announcement(const node_state& node, const std::string& text) {
-    const auto body = nlohmann::json::parse(text, nullptr, false);
+    const auto body = parse_json_or_discard(text);
     if (!body.is_object()) {
         return error{error_kind::malformed, "the announcement is not a JSON object",
                      "send {\"service\", \"address\", \"slots\", \"connections\", \"state\"}"};
--- a/src/libhttp/httpmessage.cpp
+++ b/src/libhttp/httpmessage.cpp
@@ -109,6 +109,20 @@
     return std::nullopt;
 }
 
+std::string percent_encode(std::string_view text) {
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string buf;
+    for (const char it : text) {
+        const auto byte = static_cast<unsigned char>(it);
+        if (std::isalnum(byte) != 0 || std::string_view{"-._~"}.find(it) != std::string_view::npos) {
+            buf += it;
+        } else {
+            buf += {'%', digits[byte >> 4U], digits[byte & 15U]};
+        }
+    }
+    return buf;
+}
+
 std::vector<std::string_view> path_segments(std::string_view path) {
     std::vector<std::string_view> segments;
     while (!path.empty()) {
--- a/src/libhttp/httpmessage.h
+++ b/src/libhttp/httpmessage.h
@@ -62,6 +62,8 @@
 std::string_view path_of(std::string_view target);
 /// Returns the value of a query parameter, percent-decoded and with '+' read as a space.
 std::optional<std::string> query_parameter(std::string_view target, std::string_view name);
+/// Encodes a text as part of a path or query: all characters but letters, digits and "-._~" become %XX.
+std::string percent_encode(std::string_view text);
 /// Splits a path into its segments; empty segments are omitted.
 std::vector<std::string_view> path_segments(std::string_view path);
 
--- a/src/libmesh/hopprotocol.cpp
+++ b/src/libmesh/hopprotocol.cpp
@@ -1,6 +1,6 @@
 #include "hopprotocol.h"
 
-#include <nlohmann/json.hpp>
+#include "jsontext.h"
 
 #include <cmath>
 
@@ -10,9 +10,31 @@
 
 using nlohmann::json;
 
-error malformed(std::string_view what) {
-    return {error_kind::malformed, "the hop data are malformed: " + std::string{what},
-            "run the same version of the program on all nodes"};
+/// Bound on durations and loads in hop data, about one day in ms. Keeps sums of times from overflowing.
+constexpr double max_duration_ms = 1e8;
+
+result<void> read_ms(const json& object, std::string_view name, boot_duration& out) {
+    double ms = 0;
+    BOOST_OUTCOME_TRYV(read_field(object, name, ms, number_range<double>{-max_duration_ms, max_duration_ms}));
+    out = from_ms(ms);
+    return success();
+}
+
+/// Reads an array of `count` numbers.
+result<std::vector<double>> read_numbers(const json& object, std::string_view name, std::size_t count) {
+    BOOST_OUTCOME_TRY(values, read_array(object, name));
+    std::vector<double> numbers;
+    for (const auto& it : *values) {
+        if (it.is_number() && std::abs(it.get<double>()) <= max_duration_ms) {
+            numbers.push_back(it.get<double>());
+        }
+    }
+    if (numbers.size() != count || values->size() != count) {
+        return error{error_kind::malformed,
+                     "the field \"" + std::string{name} + "\" is not a list of numbers",
+                     "run the same version of the program on all nodes"};
+    }
+    return numbers;
 }
 
 std::string_view outcome_text(hop_outcome it) {
@@ -44,27 +66,23 @@
                   {"nested", info.nested},
                   {"repeat", info.is_retry},
                   {"version", info.config_version}};
-    return it.dump();
+    return print_json(it);
 }
 
 result<hop_info> decode_hop_info(std::string_view text) {
-    try {
-        const auto it = json::parse(text);
-        hop_info info;
-        it.at("caller").get_to(info.caller_service);
-        it.at("service").get_to(info.service);
-        it.at("route").get_to(info.route);
-        info.time_left = from_ms(it.at("left").get<double>());
-        info.latency_objective = from_ms(it.at("objective").get<double>());
-        it.at("position").get_to(info.priority);
-        it.at("idempotent").get_to(info.idempotent);
-        it.at("nested").get_to(info.nested);
-        it.at("repeat").get_to(info.is_retry);
-        it.at("version").get_to(info.config_version);
-        return info;
-    } catch (const json::exception& ex) {
-        return malformed(ex.what());
-    }
+    hop_info info;
+    BOOST_OUTCOME_TRY(it, parse_json(text));
+    BOOST_OUTCOME_TRYV(read_field(it, "caller", info.caller_service));
+    BOOST_OUTCOME_TRYV(read_field(it, "service", info.service));
+    BOOST_OUTCOME_TRYV(read_field(it, "route", info.route));
+    BOOST_OUTCOME_TRYV(read_ms(it, "left", info.time_left));
+    BOOST_OUTCOME_TRYV(read_ms(it, "objective", info.latency_objective));
+    BOOST_OUTCOME_TRYV(read_field(it, "position", info.priority));
+    BOOST_OUTCOME_TRYV(read_field(it, "idempotent", info.idempotent));
+    BOOST_OUTCOME_TRYV(read_field(it, "nested", info.nested));
+    BOOST_OUTCOME_TRYV(read_field(it, "repeat", info.is_retry));
+    BOOST_OUTCOME_TRYV(read_field(it, "version", info.config_version));
+    return info;
 }
 
 std::string encode_hop_result(const hop_result& result, boot_time_point now) {
@@ -87,40 +105,46 @@
     for (const auto& [service, level] : result.levels) {
         it["levels"][service] = {rounded(level.level), rounded(to_ms(now - level.at))};
     }
-    return it.dump();
+    return print_json(it);
 }
 
 result<hop_result> decode_hop_result(std::string_view text, boot_time_point now) {
-    try {
-        const auto it = json::parse(text);
-        hop_result result;
-        const auto outcome = it.at("outcome").get<std::string>();
-        if (outcome == outcome_text(hop_outcome::answered)) {
-            result.outcome = hop_outcome::answered;
-        } else if (outcome == outcome_text(hop_outcome::not_run)) {
-            result.outcome = hop_outcome::not_run;
-        }
-        const auto& load = it.at("load");
-        result.load = {load.at(0).get<double>(), load.at(1).get<double>(), load.at(2).get<double>(),
-                       load.at(3).get<double>()};
-        it.at("version").get_to(result.config_version);
-        result.reason = it.value("reason", std::string{});
-        result.accepting = it.value("accepting", true);
-        result.reached_target = it.value("reached", false);
-        if (it.contains("costs")) {
-            for (const auto& [service, ms] : it.at("costs").items()) {
-                result.costs[service] = ms.get<double>();
-            }
+    BOOST_OUTCOME_TRY(it, parse_json(text));
+    hop_result result;
+    std::string outcome;
+    BOOST_OUTCOME_TRYV(read_field(it, "outcome", outcome));
+    if (outcome == outcome_text(hop_outcome::answered)) {
+        result.outcome = hop_outcome::answered;
+    } else if (outcome == outcome_text(hop_outcome::not_run)) {
+        result.outcome = hop_outcome::not_run;
+    }
+    BOOST_OUTCOME_TRY(load, read_numbers(it, "load", 4));
+    result.load = {load[0], load[1], load[2], load[3]};
+    BOOST_OUTCOME_TRYV(read_field(it, "version", result.config_version));
+    if (find_field(it, "reason") != nullptr) {
+        BOOST_OUTCOME_TRYV(read_field(it, "reason", result.reason));
+    }
+    if (find_field(it, "accepting") != nullptr) {
+        BOOST_OUTCOME_TRYV(read_field(it, "accepting", result.accepting));
+    }
+    if (find_field(it, "reached") != nullptr) {
+        BOOST_OUTCOME_TRYV(read_field(it, "reached", result.reached_target));
+    }
+    if (find_field(it, "costs") != nullptr) {
+        BOOST_OUTCOME_TRY(costs, read_object(it, "costs"));
+        for (const auto& [service, ms] : costs->items()) {
+            BOOST_OUTCOME_TRYV(
+                read_field(*costs, service, result.costs[service], number_range<double>{0, max_duration_ms}));
         }
-        if (it.contains("levels")) {
-            for (const auto& [service, pair] : it.at("levels").items()) {
-                result.levels[service] = {pair.at(0).get<double>(), now - from_ms(pair.at(1).get<double>())};
-            }
+    }
+    if (find_field(it, "levels") != nullptr) {
+        BOOST_OUTCOME_TRY(levels, read_object(it, "levels"));
+        for (const auto& [service, pair] : levels->items()) {
+            BOOST_OUTCOME_TRY(numbers, read_numbers(*levels, service, 2));
+            result.levels[service] = {numbers[0], now - from_ms(numbers[1])};
         }
-        return result;
-    } catch (const json::exception& ex) {
-        return malformed(ex.what());
     }
+    return result;
 }
 
 } // namespace baobabswitch
--- a/src/libmesh/meshmetrics.cpp
+++ b/src/libmesh/meshmetrics.cpp
@@ -47,7 +47,7 @@
     prometheus::Family<prometheus::Counter>& store_calls =
         prometheus::BuildCounter()
             .Name("baobabswitch_store_calls_total")
-            .Help("Calls to the platform's store, by result")
+            .Help("Calls to the platform's store, by purpose and result")
             .Register(registry);
     prometheus::Family<prometheus::Gauge>& gauges = prometheus::BuildGauge()
                                                         .Name("baobabswitch_state")
@@ -96,8 +96,8 @@
     impl_->events.Add({{"event", std::string{event}}}).Increment();
 }
 
-void mesh_metrics::count_store_call(std::string_view result) {
-    impl_->store_calls.Add({{"result", std::string{result}}}).Increment();
+void mesh_metrics::count_store_call(std::string_view purpose, std::string_view result) {
+    impl_->store_calls.Add({{"purpose", std::string{purpose}}, {"result", std::string{result}}}).Increment();
 }
 
 void mesh_metrics::set_gauge(std::string_view name, double value) {
--- a/src/libmesh/meshmetrics.h
+++ b/src/libmesh/meshmetrics.h
@@ -23,8 +23,8 @@
                    double service_seconds);
     /// Counts an event: "retry", "retry_denied", "malformed_announcement" and the like.
     void count_event(std::string_view event);
-    /// Counts a call to the store by result.
-    void count_store_call(std::string_view result);
+    /// Counts a call to the store by purpose ("list", "probe", "watch", "get", "write", "remove") and result.
+    void count_store_call(std::string_view purpose, std::string_view result);
     void set_gauge(std::string_view name, double value);
 
     /// Renders all metrics in the Prometheus text format.
--- a/src/libmesh/objectclient.h
+++ b/src/libmesh/objectclient.h
@@ -15,7 +15,7 @@
 struct stored_object {
     std::string name;
     std::uint64_t revision = 0; ///< of its last change
-    std::string content;        ///< JSON text
+    std::string content;        ///< as stored; any program may have written it
     bool deleted = false;
 };
 
@@ -23,6 +23,7 @@
 struct object_list {
     std::vector<stored_object> objects;
     std::uint64_t revision = 0;
+    std::size_t unreadable = 0; ///< objects without readable metadata, which are left out
 };
 
 /// Required freshness of a response. A stale one may be seconds old and is cheaper for the store.
@@ -30,7 +31,8 @@
 
 /// Asynchronous client of the platform's store. Each callback is called exactly once, on the event loop.
 /// Errors: store_unavailable (refused, or the outcome is unknown), conflict (the object has another revision
-/// or already exists), not_found (the object or the requested history does not exist).
+/// or already exists), not_found (the object or the requested history does not exist), malformed (the
+/// response can't be read).
 class object_client {
 public:
     using list_callback = std::function<void(result<object_list>)>;
--- a/src/libmesh/peerstate.cpp
+++ b/src/libmesh/peerstate.cpp
@@ -1,9 +1,8 @@
 #include "peerstate.h"
 
+#include "jsontext.h"
 #include "storesync.h"
 
-#include <nlohmann/json.hpp>
-
 namespace baobabswitch {
 
 namespace {
@@ -13,6 +12,11 @@
 constexpr milliseconds exchange_timeout{700};
 constexpr std::chrono::seconds push_interval{1};
 
+result<target_entry> unreadable_entry(std::string_view node) {
+    return error{error_kind::malformed, "the entry of target node " + std::string{node} + " is malformed",
+                 "run the same version on all nodes"};
+}
+
 } // namespace
 
 std::string encode_peer_state(const mesh_state& state) {
@@ -20,37 +24,33 @@
     for (const auto& [node, view] : state.targets.by_node) {
         targets[node] = {{"revision", view.entry.revision}, {"content", encode_entry(view.entry)}};
     }
-    return json{{"version", config_version(state)},
-                {"document", state.config ? state.config->document : std::string{}},
-                {"targets", std::move(targets)}}
-        .dump();
+    return print_json(json{{"version", config_version(state)},
+                           {"document", state.config ? state.config->document : std::string{}},
+                           {"targets", std::move(targets)}});
 }
 
 result<void> apply_peer_state(mesh_state& state, std::string_view text) {
-    const auto it = json::parse(text, nullptr, false);
-    if (!it.is_object() || !it.contains("document") || !it["document"].is_string() ||
-        !it.contains("targets") || !it["targets"].is_object()) {
-        return error{error_kind::malformed, "a peer's state is malformed",
-                     "run the same version on all nodes"};
-    }
-    for (const auto& [node, stored] : it["targets"].items()) {
-        if (node == state.settings.node || !stored.is_object() || !stored.contains("content") ||
-            !stored["content"].is_string()) {
-            continue;
-        }
-        stored_object object{node, stored.value("revision", std::uint64_t{0}), stored["content"], false};
-        auto entry = decode_entry(object);
+    BOOST_OUTCOME_TRY(it, parse_json(text));
+    std::string document;
+    BOOST_OUTCOME_TRYV(read_field(it, "document", document));
+    BOOST_OUTCOME_TRY(targets, read_object(it, "targets"));
+    for (const auto& [node, stored] : targets->items()) {
+        stored_object object;
+        object.name = node;
+        const bool readable =
+            read_field(stored, "revision", object.revision) && read_field(stored, "content", object.content);
+        const auto entry = readable ? decode_entry(object) : unreadable_entry(node);
         if (!entry) {
-            return entry.error();
+            state.metrics.count_event("malformed_entry");
+            state.log.write("entry-rejected",
+                            {{"name", node}, {"source", "peer"}, {"error", describe(entry.error())}});
+        } else if (node != state.settings.node) {
+            update_target(state.targets, entry.value());
+            state.targets_known = true;
         }
-        update_target(state.targets, entry.value());
-        state.targets_known = true;
     }
-    if (const auto document = it["document"].get<std::string>(); !document.empty()) {
-        auto adopted = adopt_config(state, document, "peer");
-        if (!adopted) {
-            return adopted.error();
-        }
+    if (!document.empty()) {
+        BOOST_OUTCOME_TRYV(adopt_config(state, document, "peer"));
     }
     return success();
 }
--- a/src/libmesh/storesync.cpp
+++ b/src/libmesh/storesync.cpp
@@ -1,9 +1,9 @@
 #include "storesync.h"
 
+#include "jsontext.h"
 #include "localtargetwatch.h"
 
-#include <nlohmann/json.hpp>
-
+#include <map>
 #include <set>
 
 namespace baobabswitch {
@@ -26,40 +26,51 @@
 constexpr milliseconds min_backoff{120};
 constexpr milliseconds max_backoff{700};
 
+result<void> read_entry(std::string_view text, target_entry& it) {
+    BOOST_OUTCOME_TRY(content, parse_json(text));
+    std::string peer;
+    BOOST_OUTCOME_TRYV(read_field(content, "peer", peer));
+    BOOST_OUTCOME_TRY(address, parse_endpoint(peer));
+    it.peer = address;
+    BOOST_OUTCOME_TRYV(read_field(content, "domain", it.domain));
+    BOOST_OUTCOME_TRYV(read_field(content, "service", it.service));
+    BOOST_OUTCOME_TRYV(read_field(content, "instance", it.instance));
+    BOOST_OUTCOME_TRYV(read_field(content, "slots", it.slots, number_range<unsigned>{0, max_target_slots}));
+    BOOST_OUTCOME_TRYV(read_field(content, "accepting", it.accepting));
+    BOOST_OUTCOME_TRYV(read_field(content, "leaving", it.leaving));
+    BOOST_OUTCOME_TRYV(read_field(content, "started_ms", it.started_ms));
+    // A node publishes neither before its target has announced itself.
+    const bool has_target = it.peer.port != 0 && it.slots > 0 && is_instance_id(it.instance);
+    if (it.accepting && !has_target) {
+        return error{error_kind::malformed, "it accepts calls without a port, slots or an instance id",
+                     "delete the object; its node writes it again"};
+    }
+    return success();
+}
+
 } // namespace
 
 std::string encode_entry(const target_entry& it) {
-    return json{{"peer", to_string(it.peer)}, {"domain", it.domain},        {"service", it.service},
-                {"instance", it.instance},    {"slots", it.slots},          {"accepting", it.accepting},
-                {"leaving", it.leaving},      {"started_ms", it.started_ms}}
-        .dump();
+    return print_json(json{{"peer", to_string(it.peer)},
+                           {"domain", it.domain},
+                           {"service", it.service},
+                           {"instance", it.instance},
+                           {"slots", it.slots},
+                           {"accepting", it.accepting},
+                           {"leaving", it.leaving},
+                           {"started_ms", it.started_ms}});
 }
 
 result<target_entry> decode_entry(const stored_object& stored) {
-    try {
-        const auto content = json::parse(stored.content);
-        target_entry it;
-        it.node = stored.name;
-        it.revision = stored.revision;
-        auto peer = parse_endpoint(content.at("peer").get<std::string>());
-        if (!peer) {
-            return error{error_kind::malformed, peer.error().message,
-                         "delete the object; its node writes it again"};
-        }
-        it.peer = peer.value();
-        content.at("domain").get_to(it.domain);
-        content.at("service").get_to(it.service);
-        content.at("instance").get_to(it.instance);
-        content.at("slots").get_to(it.slots);
-        content.at("accepting").get_to(it.accepting);
-        content.at("leaving").get_to(it.leaving);
-        content.at("started_ms").get_to(it.started_ms);
-        return it;
-    } catch (const json::exception& ex) {
+    target_entry it;
+    it.node = stored.name;
+    it.revision = stored.revision;
+    if (const auto read = read_entry(stored.content, it); !read) {
         return error{error_kind::malformed,
-                     "the entry of target node " + stored.name + " is malformed: " + ex.what(),
+                     "the entry of target node " + stored.name + " is malformed: " + read.error().message,
                      "delete the object; its node writes it again"};
     }
+    return it;
 }
 
 /// Watched objects of one kind.
@@ -72,6 +83,8 @@
     milliseconds watch_delay = config_watch_delay;
     std::uint64_t revision = 0;
     unsigned failures = 0;
+    /// Revisions of the entries that were rejected last, by name; each is logged once.
+    std::map<std::string, std::uint64_t, std::less<>> rejected;
 };
 
 store_sync::store_sync(mesh_state& state, object_client& store)
@@ -90,6 +103,10 @@
     targets_->watch_delay = target_watch_delay;
     targets_->on_object = [this](const stored_object& it) {
         apply_target(it);
+        if (it.name == state_.settings.node && !writing_) {
+            // Replaces an entry that another program wrote under this node's name.
+            publish_own_entry([](bool) {});
+        }
     };
     targets_->on_loaded = [this](const std::set<std::string>& names) {
         std::vector<std::string> gone;
@@ -124,7 +141,7 @@
 }
 
 void store_sync::record_store_result(bool reached, std::string_view what) {
-    state_.metrics.count_store_call(reached ? "answered" : "failed");
+    state_.metrics.count_store_call(what, reached ? "answered" : "failed");
     if (reached != connected_ || !connection_state_logged_) {
         state_.log.write(reached ? "store-regained" : "store-lost", {{"call", what}});
         connection_state_logged_ = true;
@@ -144,11 +161,13 @@
         }
         it.failures = 0;
         it.revision = listed.value().revision;
+        count_unreadable(it, listed.value());
         std::set<std::string> names;
         for (const auto& object : listed.value().objects) {
             names.insert(object.name);
             it.on_object(object);
         }
+        std::erase_if(it.rejected, [&](const auto& entry) { return !names.contains(entry.first); });
         it.on_loaded(names);
         probe_and_watch(it);
     });
@@ -166,14 +185,19 @@
                      if (!*alive) {
                          return;
                      }
-                     const bool history_gone = !changes && changes.error().kind == error_kind::not_found;
-                     record_store_result(changes.has_value() || history_gone, "watch");
+                     // The changes since this revision can't be obtained or read, so the kind is listed
+                     // again.
+                     const bool reload = !changes && (changes.error().kind == error_kind::not_found ||
+                                                      changes.error().kind == error_kind::malformed);
+                     record_store_result(changes.has_value() || reload,
+                                         wait == probe_watch_duration ? "probe" : "watch");
                      if (!changes) {
-                         retry(it, history_gone);
+                         retry(it, reload);
                          return;
                      }
                      it.failures = 0;
                      it.revision = std::max(it.revision, changes.value().revision);
+                     count_unreadable(it, changes.value());
                      for (const auto& object : changes.value().objects) {
                          it.on_object(object);
                      }
@@ -227,8 +251,11 @@
     }
     auto decoded = decode_entry(it);
     if (!decoded) {
-        state_.metrics.count_event("malformed_entry");
-        state_.log.write("entry-rejected", {{"name", it.name}, {"error", describe(decoded.error())}});
+        reject_entry(it, decoded.error());
+        if (own && it.revision >= own_revision_) {
+            own_revision_ = it.revision;
+            stored_entry_.reset();
+        }
         return;
     }
     auto& entry = decoded.value();
@@ -252,6 +279,25 @@
     }
 }
 
+void store_sync::reject_entry(const stored_object& it, const error& cause) {
+    auto& known = targets_->rejected[it.name];
+    if (known == it.revision) {
+        return;
+    }
+    known = it.revision;
+    state_.metrics.count_event("malformed_entry");
+    state_.log.write("entry-rejected",
+                     {{"name", it.name}, {"revision", it.revision}, {"error", describe(cause)}});
+}
+
+void store_sync::count_unreadable(const collection& it, const object_list& list) {
+    if (list.unreadable > 0) {
+        state_.metrics.count_event("malformed_entry");
+        state_.log.write("entries-unreadable",
+                         {{"kind", it.kind}, {"count", list.unreadable}, {"revision", list.revision}});
+    }
+}
+
 void store_sync::fetch_config(std::function<void()> on_failed) {
     if (config_fetch_pending_) {
         return;
@@ -283,7 +329,7 @@
     const auto wanted = own_entry(state_);
     target_entry known = stored_entry_.value_or(target_entry{});
     known.revision = 0;
-    if (!state_.target.current || known == wanted) {
+    if (!state_.target.current || known == wanted || removed_) {
         finish_write(known == wanted);
         return;
     }
@@ -332,6 +378,7 @@
                        record_store_result(read.has_value(), "get");
                        if (!read) {
                            finish_write(false);
+                           retry_write();
                            return;
                        }
                        own_revision_ = 0;
@@ -342,6 +389,10 @@
     }
     state_.log.write("own-entry-not-stored", {{"error", describe(written.error())}});
     finish_write(false);
+    retry_write();
+}
+
+void store_sync::retry_write() {
     state_.loop.schedule(min_backoff * 2, [this, alive = alive_] {
         if (*alive && !writing_) {
             write_own_entry();
@@ -362,6 +413,7 @@
         done();
         return;
     }
+    removed_ = true;
     store_.remove(state_.port.target_kind, state_.settings.node, own_revision_,
                   [this, alive = alive_, done = std::move(done)](const result<stored_object>& removed) {
                       if (*alive) {
--- a/src/libmesh/storesync.h
+++ b/src/libmesh/storesync.h
@@ -43,8 +43,11 @@
     void retry(collection& it, bool reload);
     void apply_config(const stored_object& it);
     void apply_target(const stored_object& it);
+    void reject_entry(const stored_object& it, const error& cause);
+    void count_unreadable(const collection& it, const object_list& list);
     void record_store_result(bool reached, std::string_view what);
     void write_own_entry();
+    void retry_write();
     void finish_write(bool stored);
     void on_written(result<stored_object> written);
 
@@ -58,6 +61,7 @@
     std::optional<target_entry> stored_entry_;
     std::vector<std::function<void(bool)>> publish_callbacks_;
     bool writing_ = false;
+    bool removed_ = false; ///< the own entry was removed and is not written again
     bool config_fetch_pending_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/libmesh/targettable.cpp
+++ b/src/libmesh/targettable.cpp
@@ -36,6 +36,12 @@
 
 } // namespace
 
+bool is_instance_id(std::string_view text) {
+    constexpr std::size_t max_length = 256;
+    return !text.empty() && text.size() <= max_length &&
+           std::all_of(text.begin(), text.end(), [](char it) { return it > ' ' && it <= '~'; });
+}
+
 bool update_target(target_table& table, const target_entry& it) {
     const auto found = table.by_node.find(it.node);
     if (found == table.by_node.end()) {
--- a/src/libmesh/targettable.h
+++ b/src/libmesh/targettable.h
@@ -12,6 +12,14 @@
 
 namespace baobabswitch {
 
+/// Largest plausible number of slots. A slot is a connection in use, and a node has at most this many ports
+/// for connections to one target.
+inline constexpr unsigned max_target_slots = 65'535;
+
+/// Returns whether a text can be the id of a target's incarnation: 1 to 256 visible ASCII characters. Others
+/// can't be sent in a header field.
+bool is_instance_id(std::string_view text);
+
 /// Published state of the target beside a node.
 struct target_entry {
     std::string node;
--- a/tests/adapter/test_decoding.cpp
+++ b/tests/adapter/test_decoding.cpp
@@ -67,8 +67,12 @@
     bad_port["network"]["listen"]["ready"] = "127.0.0.1:99999";
     auto bad_type = settings_document();
     bad_type["terms"]["bounds"]["grace_s"] = "six";
-    for (const auto& text :
-         {std::string{}, std::string{"{"}, no_target.dump(), bad_port.dump(), bad_type.dump()}) {
+    auto bad_range = settings_document();
+    bad_range["network"]["port_range"] = {70000, 70001};
+    auto no_range = settings_document();
+    no_range["network"]["port_range"] = json::array();
+    for (const auto& text : {std::string{}, std::string{"{"}, no_target.dump(), bad_port.dump(),
+                             bad_type.dump(), bad_range.dump(), no_range.dump(), std::string(100'000, '[')}) {
         const auto it = platform::decode_settings(text);
         REQUIRE_FALSE(it);
         CHECK(it.error().kind == error_kind::bad_settings);
@@ -101,7 +105,15 @@
     no_service["virtual_hosts"][0]["paths"][1].erase("service");
     auto empty_split = configuration_document();
     empty_split["virtual_hosts"][0]["paths"][0]["traffic_split"] = json::array();
-    for (const auto& text : {std::string{"no"}, bad_version.dump(), no_service.dump(), empty_split.dump()}) {
+    auto bad_attempts = configuration_document();
+    bad_attempts["virtual_hosts"][0]["paths"][0]["max_attempts"] = -1;
+    auto long_timeout = configuration_document();
+    long_timeout["virtual_hosts"][0]["paths"][0]["timeout_s"] = 1e300;
+    auto no_header = configuration_document();
+    no_header["limits"]["max_header_bytes"] = 0;
+    const auto deep = R"({"version":)" + std::string(200'000, '[') + std::string(200'000, ']') + '}';
+    for (const auto& text : {std::string{"no"}, bad_version.dump(), no_service.dump(), empty_split.dump(),
+                             bad_attempts.dump(), long_timeout.dump(), no_header.dump(), deep}) {
         const auto it = platform::decode_configuration(text);
         REQUIRE_FALSE(it);
         CHECK(it.error().kind == error_kind::bad_document);
@@ -140,8 +152,18 @@
     bad_address["address"] = "here";
     auto bad_born = heartbeat_body();
     bad_born["born"] = "soon";
-    for (const auto& body :
-         {bad_state, bad_slots, negative, no_info, bad_address, bad_born, json{}, json::array()}) {
+    auto broken_born = heartbeat_body();
+    broken_born["born"] = 1.5;
+    auto no_slots = heartbeat_body();
+    no_slots["info"]["slots"] = 0;
+    auto many_slots = heartbeat_body();
+    many_slots["info"]["slots"] = 4294967303;
+    auto long_warmup = heartbeat_body();
+    long_warmup["status"]["cold_left_s"] = 1e300;
+    auto negative_warmup = heartbeat_body();
+    negative_warmup["status"]["cold_left_s"] = -1;
+    for (const auto& body : {bad_state, bad_slots, negative, no_info, bad_address, bad_born, broken_born,
+                             no_slots, many_slots, long_warmup, negative_warmup, json{}, json::array()}) {
         const auto it = platform::decode_announcement(make_heartbeat(body));
         REQUIRE_FALSE(it);
         CHECK(it.error().kind == error_kind::malformed);
@@ -149,5 +171,11 @@
     auto broken = make_heartbeat(heartbeat_body());
     broken.body = "\xff\x00{";
     CHECK_FALSE(platform::decode_announcement(broken));
+    auto deep = make_heartbeat(heartbeat_body());
+    deep.body.replace(deep.body.find("1.5"), 3, std::string(100'000, '[') + std::string(100'000, ']'));
+    CHECK_FALSE(platform::decode_announcement(deep));
+    auto odd_id = make_heartbeat(heartbeat_body());
+    odd_id.target = "/baobabswitch/instances/i\xff";
+    CHECK_FALSE(platform::decode_announcement(odd_id));
     CHECK_FALSE(platform::decode_announcement(make_heartbeat(heartbeat_body(), "POST")));
 }
