Bound the memory of responses that are being read

The header of a chunk and trailers were read without limit. A response with status 503 and neither signature nor proof was passed on as if the request had not run, and one without its request's id was accepted. Change: responses are read piecewise against one memory budget of the node, an eighth of the VM's memory; past it the largest is given up as unknown. Input buffers have a maximum. Targets' responses need the id, and statuses that state 'not run' need the proof.

--- a/src/libhttp/httpclient.cpp
+++ b/src/libhttp/httpclient.cpp
@@ -76,6 +76,9 @@
 /// Number of responses to other requests that are ignored before the exchange fails and its connection is
 /// closed.
 constexpr unsigned max_mismatched_responses = 4;
+/// Input buffered beyond the header limit. Bounds what the parser waits for, such as the end of a chunk's
+/// header.
+constexpr std::size_t extra_buffer_bytes = std::size_t{64} * 1024;
 
 /// Returns 80 % of the idle timeout in a Keep-Alive header, so that the client closes the connection first.
 std::optional<duration> parse_keep_alive_timeout(std::string_view keep_alive) {
@@ -142,8 +145,11 @@
     void start(std::shared_ptr<exchange> it, const http_client_options& options) {
         exchange_ = std::move(it);
         limits_ = options.limits;
+        buffer_.max_size(limits_.header_bytes + extra_buffer_bytes);
+        hold_body(options.memory);
         mismatched_responses_ = 0;
         correlation_header_ = options.correlation_header;
+        require_correlation_ = options.require_correlation;
         expected_id_ = correlation_header_.empty()
                            ? std::string{}
                            : std::string{header_or_empty(exchange_->request.headers, correlation_header_)};
@@ -189,6 +195,7 @@
     void close() {
         open_ = false;
         exchange_.reset();
+        release_body();
         error_code ec;
         stream_.socket().close(ec);
     }
@@ -199,9 +206,67 @@
         parser_->header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
         parser_->body_limit(limits_.body_bytes);
         parser_->skip(skip_body_);
-        http::async_read(
-            stream_, buffer_, *parser_,
-            [self = shared_from_this()](error_code ec, std::size_t n) { self->on_response(ec, n); });
+        parser_->eager(true);
+        read_some();
+    }
+
+    /// Reads piecewise, so that the size of the body is known while it grows.
+    void read_some() {
+        http::async_read_some(stream_, buffer_, *parser_,
+                              [self = shared_from_this()](error_code ec, std::size_t) { self->on_read(ec); });
+    }
+
+    void on_read(error_code ec) {
+        if (!exchange_) {
+            return;
+        }
+        if (ec) {
+            on_error(ec);
+            return;
+        }
+        if (body_holder_) {
+            // May evict this body, which closes the connection.
+            memory_->resize(*body_holder_, parser_->get().body().size());
+        }
+        if (!exchange_) {
+            return;
+        }
+        if (!parser_->is_done()) {
+            read_some();
+            return;
+        }
+        on_response();
+    }
+
+    void hold_body(const std::shared_ptr<body_memory>& memory) {
+        if (!memory) {
+            return;
+        }
+        memory_ = memory;
+        body_holder_ = memory->add([self = weak_from_this()] {
+            if (const auto conn = self.lock()) {
+                conn->body_holder_.reset();
+                conn->on_evicted();
+            }
+        });
+    }
+
+    void release_body() {
+        if (body_holder_) {
+            memory_->remove(*body_holder_);
+            body_holder_.reset();
+        }
+    }
+
+    void on_evicted() {
+        const auto client = client_.lock();
+        const auto it = exchange_;
+        if (!client || !it) {
+            return;
+        }
+        client->close_connection(shared_from_this());
+        client->fail(it, http_failure_kind::memory_exhausted,
+                     "the bodies of all responses exceed their memory");
     }
 
     /// Reports whether the response carries the correlation id of another request.
@@ -213,6 +278,11 @@
         return id && *id != expected_id_;
     }
 
+    bool lacks_required_id(const http_response& response) const {
+        return require_correlation_ && !expected_id_.empty() &&
+               !find_header(response.headers, correlation_header_);
+    }
+
     void on_connect(error_code ec) {
         stream_.expires_never();
         if (!ec) {
@@ -225,12 +295,10 @@
         }
     }
 
-    void on_response(error_code ec, std::size_t) {
-        if (!exchange_) {
-            return;
-        }
-        if (ec) {
-            on_error(ec);
+    void on_response() {
+        // Requests are sent without "Expect", so an interim response (status 1xx) answers none of them.
+        if (parser_->get().result_int() < 200) {
+            on_error(http::error::bad_status);
             return;
         }
         auto message = parser_->release();
@@ -245,7 +313,7 @@
             read_response();
             return;
         }
-        if (has_mismatched_id(response)) {
+        if (has_mismatched_id(response) || lacks_required_id(response)) {
             on_error(http::error::bad_field);
             return;
         }
@@ -261,6 +329,7 @@
         if (!client) {
             return;
         }
+        release_body();
         // Bytes after the response belong to no request, so the connection can't be reused.
         if (keep && buffer_.size() == 0) {
             client->release(shared_from_this());
@@ -298,6 +367,9 @@
     http_limits limits_;
     std::string correlation_header_;
     std::string expected_id_;
+    bool require_correlation_ = false;
+    std::shared_ptr<body_memory> memory_;
+    std::optional<body_memory::holder_id> body_holder_; ///< of the response that is being read
     unsigned mismatched_responses_ = 0;
     time_point idle_since_;
     duration peer_idle_limit_ = duration::max();
--- a/src/libhttp/httpclient.h
+++ b/src/libhttp/httpclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bodymemory.h"
 #include "eventloop.h"
 #include "httpmessage.h"
 
@@ -12,10 +13,11 @@
 
 enum class http_failure_kind {
     connect_failed,
-    wait_queue_full, ///< max_waiting_per_endpoint requests already wait
-    connection_lost, ///< any loss of the connection other than truncated
-    truncated,       ///< the peer closed or reset the connection within the response
-    malformed,       ///< the response is invalid, too large or has the correlation id of another request
+    wait_queue_full,  ///< max_waiting_per_endpoint requests already wait
+    connection_lost,  ///< any loss of the connection other than truncated
+    truncated,        ///< the peer closed or reset the connection within the response
+    malformed,        ///< the response is invalid, too large or has the correlation id of another request
+    memory_exhausted, ///< the response was given up to keep the bodies of all responses within memory
     timeout,
     cancelled
 };
@@ -44,10 +46,15 @@
     /// Idle time before the first TCP keep-alive probe and interval between probes; two lost probes close a
     /// connection. 0: no probes.
     std::chrono::seconds keepalive_interval{0};
+    /// Counts the bodies of responses that are being read; null: only limits.body_bytes bounds them.
+    std::shared_ptr<body_memory> memory;
     /// Request header that the peer copies into its response. A response with another value belongs to
-    /// another request and is ignored, or fails the exchange if the connection can't deliver the right one; a
-    /// response without the header is accepted. Empty: no check.
+    /// another request and is ignored, or fails the exchange if the connection can't deliver the right one.
+    /// Empty: no check.
     std::string correlation_header;
+    /// Whether a response without the header that its request carries fails the exchange; else it is
+    /// accepted.
+    bool require_correlation = false;
 };
 
 /// HTTP/1.1 client with a pool of persistent connections per endpoint. Event loop thread only.
--- a/src/libmesh/localruns.cpp
+++ b/src/libmesh/localruns.cpp
@@ -105,6 +105,12 @@
     return failure.kind == http_failure_kind::timeout ? "target-silent" : "target-cut";
 }
 
+/// Returns whether callers take a status as the statement that the request has not run and won't. From a
+/// target that needs proof, which parse_target_response() checks first.
+bool states_not_run(unsigned status) {
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /// Derives the outcome of a call from the target's response or from the failure to get one.
 hop_result parse_target_response(const mesh_state& state, http_result answer) {
     hop_result it;
@@ -122,7 +128,8 @@
         return it;
     }
     const bool success = response.status >= 200 && response.status < 300;
-    if (success && !find_header(response.headers, headers.signature)) {
+    const bool signed_by_target = find_header(response.headers, headers.signature).has_value();
+    if ((success && !signed_by_target) || states_not_run(response.status)) {
         it.reason = "target-garbage";
         return it;
     }
--- a/src/libmesh/meshstate.cpp
+++ b/src/libmesh/meshstate.cpp
@@ -8,10 +8,23 @@
 
 namespace {
 
-http_client_options peer_options(const mesh_settings& settings, const platform_port& port) {
+constexpr std::size_t max_response_bytes = std::size_t{64} * 1024 * 1024;
+/// Responses that are being read may use 1 / response_memory_divisor of the VM's memory. A growing buffer
+/// takes up to three times its content for a moment, and requests and responses to callers have limits of
+/// their own.
+constexpr std::size_t response_memory_divisor = 8;
+
+std::shared_ptr<body_memory> make_response_memory(const mesh_settings& settings) {
+    const auto limit = settings.memory_bytes / response_memory_divisor;
+    return std::make_shared<body_memory>(limit == 0 ? max_response_bytes : limit);
+}
+
+http_client_options peer_options(const mesh_settings& settings, const platform_port& port,
+                                 const std::shared_ptr<body_memory>& memory) {
     http_client_options it;
     it.limits.header_bytes = 64 * 1024;
-    it.limits.body_bytes = 64 * 1024 * 1024;
+    it.limits.body_bytes = max_response_bytes;
+    it.memory = memory;
     it.max_connections_per_endpoint = 256;
     it.max_connecting_per_endpoint = 8;
     it.connect_timeout = milliseconds{400};
@@ -24,8 +37,10 @@
     return it;
 }
 
-http_client_options target_options(const mesh_settings& settings, const platform_port& port) {
-    auto it = peer_options(settings, port);
+http_client_options target_options(const mesh_settings& settings, const platform_port& port,
+                                   const std::shared_ptr<body_memory>& memory) {
+    auto it = peer_options(settings, port, memory);
+    it.require_correlation = true;
     it.connect_timeout = milliseconds{300};
     // Below the idle timeout of targets, which is 10 s unless they announce another one.
     it.idle_timeout = std::chrono::seconds{7};
@@ -40,8 +55,9 @@
       port(std::move(p)),
       log(settings.node),
       random(std::random_device{}()),
-      peer_client(std::make_unique<http_client>(l, peer_options(settings, port))),
-      target_client(std::make_unique<http_client>(l, target_options(settings, port))) {
+      response_memory(make_response_memory(settings)),
+      peer_client(std::make_unique<http_client>(l, peer_options(settings, port, response_memory))),
+      target_client(std::make_unique<http_client>(l, target_options(settings, port, response_memory))) {
     budget.bounds = settings.retries;
     invariants.on_violation = [this](invariant which, std::string_view detail) {
         log.write_always("invariant-violated", {{"invariant", invariant_name(which)}, {"detail", detail}});
--- a/src/libmesh/meshstate.h
+++ b/src/libmesh/meshstate.h
@@ -56,7 +56,8 @@
     unsigned announcements = 0;     ///< number received from the current incarnation
     boot_time_point announced_at{}; ///< time of the first one of the current incarnation
     boot_time_point next_health_check{};
-    std::set<std::string> departed; ///< incarnations that left, by incarnation_name()
+    std::set<std::string> departed;       ///< incarnations that left, by incarnation_name()
+    std::uint64_t newest_departed_ms = 0; ///< latest start among them, Unix time
 };
 
 using outbound_id = std::uint64_t;
@@ -118,6 +119,7 @@
     std::unordered_map<std::string, std::uint64_t> requests_by_route;   ///< for traffic splits
     std::unordered_map<std::string, boot_duration> max_caller_timeouts; ///< longest timeout seen, by route
 
+    std::shared_ptr<body_memory> response_memory; ///< shared by both clients
     std::unique_ptr<http_client> peer_client;
     std::unique_ptr<http_client> target_client;
 
