Answer requests that are being read when a node stops, and survive exceptions

An exception from any callback ended the process. Change: a server counts its busy connections, and the stop waits for them within the grace time; idle connections are closed first, and requests that arrived on them are still answered. The event loop reports exceptions and goes on. Chunked bodies count against the memory for bodies while they grow.

--- a/src/baobabswitchd/main.cpp
+++ b/src/baobabswitchd/main.cpp
@@ -73,6 +73,10 @@
         return report_error(program, admin.error());
     }
     loop.on_termination_signal([&it] { it.drain(); });
+    loop.on_unexpected_error([](std::string_view what) {
+        log(log_level::error, "node", "unexpected error; the call that caused it gets no result",
+            {{"error", std::string{what}}});
+    });
     log(log_level::info, "node", "started",
         {{"node", it.state().settings.node_id}, {"listen", to_string(it.state().settings.listen)}});
     loop.run();
--- a/src/libhttp/eventloop.cpp
+++ b/src/libhttp/eventloop.cpp
@@ -31,7 +31,17 @@
 
 void event_loop::run() {
     const auto guard = asio::make_work_guard(impl_->context);
-    impl_->context.run();
+    for (bool ended = false; !ended;) {
+        try {
+            impl_->context.run();
+            ended = true;
+        } catch (const std::exception& ex) {
+            if (!impl_->on_unexpected_error) {
+                throw;
+            }
+            impl_->on_unexpected_error(ex.what());
+        }
+    }
     impl_->context.restart();
 }
 
@@ -56,11 +66,20 @@
 
 void event_loop::schedule_every(duration period, std::function<void()> fn) {
     schedule(period, [this, period, fn = std::move(fn)] {
-        fn();
+        try {
+            fn();
+        } catch (...) {
+            schedule_every(period, fn); // An error in one run does not prevent the next.
+            throw;
+        }
         schedule_every(period, fn);
     });
 }
 
+void event_loop::on_unexpected_error(std::function<void(std::string_view)> fn) {
+    impl_->on_unexpected_error = std::move(fn);
+}
+
 void event_loop::on_termination_signal(std::function<void()> fn) {
     impl_->signals.add(SIGTERM);
     impl_->signals.add(SIGINT);
@@ -77,8 +96,8 @@
     }
     impl_->reload_signals->async_wait([this, fn = std::move(fn)](boost::system::error_code ec, int) {
         if (!ec) {
-            fn();
             on_reload_signal(fn);
+            fn();
         }
     });
 }
--- a/src/libhttp/eventloop.h
+++ b/src/libhttp/eventloop.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace baobabswitch {
 
@@ -53,6 +54,10 @@
     /// Calls the function once, on the first SIGTERM or SIGINT.
     void on_termination_signal(std::function<void()> fn);
 
+    /// Sets the function that is told what an exception from any function or I/O handler on the loop says;
+    /// the loop goes on after that. Without it, run() throws the exception.
+    void on_unexpected_error(std::function<void(std::string_view)> fn);
+
     /// Calls the function on each SIGHUP.
     void on_reload_signal(std::function<void()> fn);
 
--- a/src/libhttp/eventloopimpl.h
+++ b/src/libhttp/eventloopimpl.h
@@ -15,6 +15,7 @@
     boost::asio::io_context context{1};
     boost::asio::signal_set signals{context};
     std::optional<boost::asio::signal_set> reload_signals;
+    std::function<void(std::string_view)> on_unexpected_error;
 };
 
 } // namespace baobabswitch
--- a/src/libhttp/httpserver.cpp
+++ b/src/libhttp/httpserver.cpp
@@ -4,12 +4,14 @@
 #include "tcpsocket.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include <optional>
+#include <set>
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -19,6 +21,18 @@
 
 namespace baobabswitch {
 
+namespace {
+
+/// Size of the responses that are always sent, whatever memory other bodies take up.
+constexpr std::size_t small_response_bytes = 1024;
+/// Input buffered beyond the header limit. Bounds what the parser waits for, such as the end of a chunk's
+/// header.
+constexpr std::size_t extra_buffer_bytes = std::size_t{64} * 1024;
+
+class session;
+
+} // namespace
+
 struct http_server::impl {
     impl(asio::io_context& context, http_server_options opts, handler fn)
         : acceptor(context),
@@ -27,7 +41,8 @@
     tcp::acceptor acceptor;
     http_server_options options;
     handler on_request;
-    std::size_t connections = 0;
+    std::set<session*> sessions;
+    std::size_t busy = 0;                ///< sessions that are neither idle nor closed
     std::size_t buffered_body_bytes = 0; ///< sum over all sessions
     bool accepting = true;
     bool keep_alive = true;
@@ -69,10 +84,11 @@
           server_(std::move(server)) {
         error_code ec;
         remote_host_ = stream_.socket().remote_endpoint(ec).address().to_string(ec);
-        ++server_->connections;
+        server_->sessions.insert(this);
     }
     ~session() {
-        --server_->connections;
+        enter(state::closed);
+        server_->sessions.erase(this);
         release_body_bytes();
     }
     session(const session&) = delete;
@@ -88,6 +104,13 @@
         return remote_host_;
     }
 
+    /// Closes an idle connection. One on which a request has arrived reads it first.
+    void close_if_idle() {
+        if (state_ == state::idle && peek_input(stream_.socket().native_handle()) != pending_input::bytes) {
+            close();
+        }
+    }
+
     void on_abandoned(std::uint64_t serial, std::function<void()> fn) {
         if (serial == serial_ && state_ == state::handling) {
             abandoned_callback_ = std::move(fn);
@@ -98,8 +121,12 @@
         if (serial != serial_ || state_ != state::handling) {
             return;
         }
-        state_ = state::writing;
         abandoned_callback_ = nullptr;
+        release_body_bytes(); // The request was handed over to the handler.
+        const auto n = response.body.size();
+        if (n > small_response_bytes && !fits_body_memory(n)) {
+            response = json_response(502, R"({"error":"memory-short"})");
+        }
         const bool close_requested = requests_close(response);
         write(std::move(response), keep_alive_ && server_->keep_alive && !close_requested);
     }
@@ -107,7 +134,18 @@
 private:
     enum class state { idle, reading, handling, writing, closed };
 
+    static bool is_busy(state it) {
+        return it != state::idle && it != state::closed;
+    }
+
+    void enter(state next) {
+        server_->busy += is_busy(next) ? 1 : 0;
+        server_->busy -= is_busy(state_) ? 1 : 0;
+        state_ = next;
+    }
+
     void write(http_response response, bool keep_alive) {
+        enter(state::writing);
         add_body_bytes(response.body.size());
         response_.emplace();
         response_->version(11);
@@ -136,7 +174,7 @@
     }
 
     void await_request() {
-        state_ = state::idle;
+        enter(state::idle);
         parser_.reset();
         release_body_bytes();
         if (buffer_.size() > 0) {
@@ -191,7 +229,8 @@
     }
 
     void read() {
-        state_ = state::reading;
+        enter(state::reading);
+        buffer_.max_size(server_->options.limits.header_bytes + extra_buffer_bytes);
         parser_.emplace();
         parser_->header_limit(static_cast<std::uint32_t>(server_->options.limits.header_bytes));
         parser_->body_limit(server_->options.limits.body_bytes);
@@ -242,7 +281,6 @@
             return;
         }
         auto response = server_->options.on_read_error(cause);
-        state_ = state::writing;
         unread_input_ = true;
         write(std::move(response), false);
     }
@@ -267,14 +305,44 @@
 
     void read_body() {
         start_read_timer(server_->options.body_timeout);
-        http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](error_code ec, std::size_t) {
-            if (ec) {
-                self->on_read_failed(ec);
+        parser_->eager(true);
+        read_body_part();
+    }
+
+    /// Reads piecewise, so that the size of a chunked body is known while it grows.
+    void read_body_part() {
+        if (parser_->is_done()) {
+            timer_.cancel();
+            // Disconnects that have already arrived on other connections are handled before the request.
+            asio::post(stream_.get_executor(), [self = shared_from_this()] {
+                if (self->state_ == state::reading) {
+                    self->dispatch();
+                }
+            });
+            return;
+        }
+        http::async_read_some(stream_, buffer_, *parser_,
+                              [self = shared_from_this()](error_code ec, std::size_t) {
+                                  if (ec) {
+                                      self->on_read_failed(ec);
+                                      return;
+                                  }
+                                  self->on_body_part();
+                              });
+    }
+
+    void on_body_part() {
+        const auto n = parser_->get().body().size();
+        if (n > buffered_bytes_) {
+            add_body_bytes(n - buffered_bytes_);
+            const auto limit = server_->options.max_buffered_body_bytes;
+            if (limit != 0 && server_->buffered_body_bytes > limit) {
+                timer_.cancel();
+                reject_unread_request(http_read_error::body_memory_exhausted);
                 return;
             }
-            self->timer_.cancel();
-            self->dispatch();
-        });
+        }
+        read_body_part();
     }
 
     /// Limits the time of a read. The timeout of the stream itself would close the socket, and the client
@@ -338,7 +406,7 @@
         if (state_ == state::closed) {
             return;
         }
-        state_ = state::closed;
+        enter(state::closed);
         timer_.cancel();
         error_code ec;
         stream_.socket().shutdown(tcp::socket::shutdown_both, ec);
@@ -396,7 +464,6 @@
     keep_alive_ = message.keep_alive();
     parser_.reset();
     if (request.headers.size() > server_->options.limits.header_count && server_->options.on_read_error) {
-        state_ = state::writing;
         write(server_->options.on_read_error(http_read_error::header_too_large), false);
         return;
     }
@@ -405,18 +472,16 @@
         close();
         return;
     }
-    // The length of a chunked body is known only now.
-    if (buffered_bytes_ == 0 && !fits_body_memory(request.body.size())) {
-        reject_unread_request(http_read_error::body_memory_exhausted);
-        return;
-    }
-    if (buffered_bytes_ == 0) {
-        add_body_bytes(request.body.size());
-    }
-    state_ = state::handling;
+    enter(state::handling);
     ++serial_;
     await_readable();
-    server_->on_request(std::move(request), std::make_shared<session_exchange>(shared_from_this(), serial_));
+    try {
+        server_->on_request(std::move(request),
+                            std::make_shared<session_exchange>(shared_from_this(), serial_));
+    } catch (...) {
+        close(); // The request may have been passed on, so no response can be given.
+        throw;
+    }
 }
 
 void accept_next(const std::shared_ptr<server_impl>& server) {
@@ -424,7 +489,7 @@
         if (!server->accepting || ec == asio::error::operation_aborted) {
             return;
         }
-        if (!ec && server->connections < server->options.max_connections) {
+        if (!ec && server->sessions.size() < server->options.max_connections) {
             error_code ignored;
             socket.set_option(tcp::no_delay{true}, ignored);
             std::make_shared<session>(std::move(socket), server)->start();
@@ -472,7 +537,11 @@
 }
 
 std::size_t http_server::open_connections() const {
-    return impl_->connections;
+    return impl_->sessions.size();
+}
+
+std::size_t http_server::busy_connections() const {
+    return impl_->busy;
 }
 
 void http_server::set_limits(const http_limits& limits, duration header_timeout, duration idle_timeout) {
@@ -490,6 +559,10 @@
     impl_->accepting = false;
     error_code ec;
     impl_->acceptor.close(ec);
+    const auto sessions = impl_->sessions; // close() changes the set
+    for (auto* it : sessions) {
+        it->close_if_idle();
+    }
 }
 
 } // namespace baobabswitch
--- a/src/libhttp/httpserver.h
+++ b/src/libhttp/httpserver.h
@@ -40,7 +40,8 @@
     http_limits limits;
     std::size_t max_connections = 8192; ///< connections above it are closed when they are accepted
     /// Limit on the total size of the bodies of all requests in progress and of responses not yet written. A
-    /// request whose body would exceed it is rejected, unless no other body is held. 0: no limit.
+    /// request whose body would exceed it is rejected, and a response is replaced by one with status 502,
+    /// unless no other body is held. A body of unknown length is always held to it. 0: no limit.
     std::size_t max_buffered_body_bytes = 0;
     duration idle_timeout = std::chrono::seconds{60};
     duration header_timeout = std::chrono::seconds{5};
@@ -69,12 +70,15 @@
     /// Returns the port that is bound, also if the requested port was 0.
     std::uint16_t port() const;
     std::size_t open_connections() const;
+    /// Returns the number of connections on which a request is being read or has no complete response yet.
+    std::size_t busy_connections() const;
     /// Replaces the message limits and timeouts for requests that are read from now on.
     void set_limits(const http_limits& limits, duration header_timeout, duration idle_timeout);
     /// Closes each connection after its next response, so that clients switch to other servers before this
     /// one stops.
     void disable_keep_alive();
-    /// Stops accepting connections; open ones are closed after their next response.
+    /// Stops accepting connections. Idle ones are closed, unless a request has already arrived on them; the
+    /// others are closed after their next response.
     void stop_accepting();
 
 private:
--- a/src/libmesh/meshnode.cpp
+++ b/src/libmesh/meshnode.cpp
@@ -37,8 +37,8 @@
 /// Connections to the target that its node leaves unused, for example for health checks.
 constexpr std::size_t reserved_connections = 8;
 
-/// Each of the two servers that carry calls may use 1 / memory_divisor of the VM's memory for bodies. The
-/// rest of a node took 11 to 50 MB under the users' daily workloads.
+/// Each of the two servers that carry calls may use 1 / memory_divisor of the VM's memory for bodies; see
+/// also response_memory_divisor.
 constexpr std::size_t memory_divisor = 4;
 /// Retry-After value, in seconds, when there is no memory for a body. By then some bodies have been forwarded
 /// and their memory is free again.
@@ -99,6 +99,10 @@
       state_(loop, std::move(settings), std::move(port)),
       store_(std::move(store)),
       store_sync_(state_, *store_) {
+    loop.on_unexpected_error([this](std::string_view what) {
+        state_.metrics.count_event("unexpected_error");
+        state_.log.write("unexpected-error", {{"error", what}});
+    });
     state_.on_newer_config = [this](std::uint64_t, const endpoint& peer) {
         store_sync_.fetch_config([this, peer] { pull_peer_state(state_, peer); });
     };
@@ -107,7 +111,9 @@
     };
 }
 
-mesh_node::~mesh_node() = default;
+mesh_node::~mesh_node() {
+    loop_.on_unexpected_error(nullptr);
+}
 
 mesh_state& mesh_node::state() {
     return state_;
@@ -250,6 +256,7 @@
     it.set_gauge("slowness", state_.limiter.slowness);
     it.set_gauge("config_version", static_cast<double>(config_version(state_)));
     it.set_gauge("targets", static_cast<double>(state_.targets.by_node.size()));
+    it.set_gauge("response_memory_bytes", static_cast<double>(state_.response_memory->held_bytes()));
     it.set_gauge("calls_in_flight", static_cast<double>(state_.calls.size()));
     it.set_gauge("invariant_violations", static_cast<double>(violations(state_.invariants)));
     it.set_gauge("store_connected", store_sync_.is_connected() ? 1 : 0);
@@ -321,15 +328,24 @@
 
 void mesh_node::stop_when_idle() {
     const auto elapsed = boot_clock::now() - stop_started_;
-    const bool idle = state_.calls.empty() && state_.runs.empty() && elapsed >= min_stop_time;
-    if (idle || elapsed >= state_.settings.stop_time - stop_margin) {
+    const bool forced = elapsed >= state_.settings.stop_time - stop_margin;
+    // A connection may be busy without a call: its request is being read, or its response is being written.
+    const bool idle = state_.calls.empty() && state_.runs.empty() && elapsed >= min_stop_time &&
+                      std::all_of(servers_.begin(), servers_.end(),
+                                  [](const auto& it) { return it->busy_connections() == 0; });
+    const bool was_closing = closing_connections_;
+    if ((idle || forced) && !closing_connections_) {
+        // Requests that arrived on idle connections before these are closed are still answered.
+        closing_connections_ = true;
+        for (const auto& it : servers_) {
+            it->stop_accepting();
+        }
+    }
+    if (forced || (idle && was_closing)) {
         const auto unanswered = std::count_if(state_.calls.begin(), state_.calls.end(),
                                               [](const auto& it) { return !it.second.answered; });
         check(state_.invariants, invariant::graceful_stop, unanswered == 0, "requests without an answer");
         state_.log.write_always("stopped", {{"calls", state_.calls.size()}, {"runs", state_.runs.size()}});
-        for (const auto& it : servers_) {
-            it->stop_accepting();
-        }
         loop_.schedule(flush_time, [this] { loop_.stop(); });
         return;
     }
--- a/src/libmesh/meshnode.h
+++ b/src/libmesh/meshnode.h
@@ -58,6 +58,7 @@
     loop_delays loop_delays_;
     boot_duration loop_delay_{}; ///< see min_recent_delay()
     boot_time_point stop_started_{};
+    bool closing_connections_ = false; ///< last phase of a stop
     unsigned ticks_ = 0;
 };
 
