Verify a target that may have left before only by its health check

Cause: after a restart of its node, three delayed announcements of an incarnation that started before the one that left, or without the time of its start, made the target eligible again although its health check failed. Change: such an incarnation is used only if the health check confirms it.

--- a/src/libmesh/localtargetwatch.cpp
+++ b/src/libmesh/localtargetwatch.cpp
@@ -13,7 +13,7 @@
 /// Time to wait for the stored entry before a target is verified without it.
 constexpr milliseconds store_read_timeout{1500};
 /// Number of announcements after which an incarnation counts as running even if its health check fails. A
-/// delayed announcement of a dead target is not followed by more.
+/// delayed announcement of a dead target is seldom followed by more; see also may_be_outdated().
 constexpr unsigned announcements_to_verify = 3;
 /// Initial slowness of a target that is still warming up.
 constexpr double warmup_slowness = 1.5;
@@ -37,12 +37,22 @@
                                    {"verified", state.target.verified}});
 }
 
+void add_departed(local_target& target, const target_announcement& it) {
+    target.departed.insert(incarnation_name(it));
+    target.newest_departed_ms = std::max(target.newest_departed_ms, it.started_ms);
+}
+
+/// Returns whether an incarnation started no later than one that left, so that its announcements may have
+/// been delayed.
+bool may_be_outdated(const local_target& target) {
+    return !target.departed.empty() && target.current->started_ms <= target.newest_departed_ms;
+}
+
 announcement_effect apply_leaving(mesh_state& state, const target_announcement& it) {
     auto& target = state.target;
     const bool current = target.current && target.current->instance == it.instance;
     // A withdrawal contains only the instance id, so it applies to the known incarnation with that id.
-    target.departed.insert(it.withdrawn && current ? incarnation_name(*target.current)
-                                                   : incarnation_name(it));
+    add_departed(target, it.withdrawn && current ? *target.current : it);
     if (!current && target.current) {
         return announcement_effect::none;
     }
@@ -145,7 +155,7 @@
     target_announcement it;
     it.instance = stored.instance;
     it.started_ms = stored.started_ms;
-    target.departed.insert(incarnation_name(it));
+    add_departed(target, it);
     if (target.current && !target.leaving && incarnation_name(*target.current) == incarnation_name(it)) {
         target.leaving = true;
         log_target_event(state, "target-leaving", *target.current);
@@ -163,7 +173,7 @@
         return;
     }
     target.next_health_check = now + health_interval;
-    if (target.announcements >= announcements_to_verify) {
+    if (target.announcements >= announcements_to_verify && !may_be_outdated(target)) {
         target.verified = true;
         log_target_event(state, "target-verified", *target.current);
         on_verified();
--- a/tests/mesh/meshrig.cpp
+++ b/tests/mesh/meshrig.cpp
@@ -201,6 +201,7 @@
     it.target = target->address;
     it.listen = {endpoint_at(0), endpoint_at(4), endpoint_at(2), endpoint_at(6), endpoint_at(8)};
     it.retries = {0.2, 49, std::chrono::seconds{10}};
+    it.memory_bytes = memory_bytes;
     settings.push_back(it);
     targets.push_back(std::move(target));
     nodes.emplace_back();
--- a/tests/mesh/meshrig.h
+++ b/tests/mesh/meshrig.h
@@ -111,6 +111,7 @@
     std::vector<std::unique_ptr<target_standin>> targets;
     std::vector<node_thread> nodes;
     std::vector<baobabswitch::mesh_settings> settings;
+    std::size_t memory_bytes = 0; ///< memory of each VM that is added from now on; 0 if unknown
     /// Number of announcements that got status 200.
     unsigned acknowledged_announcements = 0;
 
