--- a/src/libfaultproxy/proxy.cpp
+++ b/src/libfaultproxy/proxy.cpp
@@ -21,6 +21,8 @@
 namespace {
 
 constexpr std::size_t buffer_bytes = 16 * 1024;
+/// Delay of the copy that repeat_answer sends.
+constexpr milliseconds repeat_delay{50};
 
 class relay;
 
@@ -62,7 +64,8 @@
     std::array<char, buffer_bytes> buffer{};
     std::deque<chunk> queue;
     bool writing = false;
-    bool lost = false; ///< bytes were dropped, so the stream can't continue
+    bool lost = false;    ///< bytes were dropped, so the stream can't continue
+    bool endless = false; ///< filler follows without end
 };
 
 /// One proxied connection.
@@ -151,6 +154,9 @@
             close();
             return;
         }
+        if (it.endless) {
+            return;
+        }
         if (to_server) {
             const bool close_after = first && should_inject("cut-after-request", faults.cut_after_request);
             enqueue(it, std::move(bytes), close_after);
@@ -164,11 +170,28 @@
             std::uniform_int_distribution<int> any{0, 255};
             std::generate(bytes.begin(), bytes.end(), [&] { return static_cast<char>(any(owner_->rng)); });
             enqueue(it, std::move(bytes), true);
+        } else if (first && should_inject("endless-answer", faults.endless_answer)) {
+            it.endless = true;
+            const bool in_head = owner_->draw(0.5);
+            enqueue(it, in_head ? "HTTP/1.1 200 OK\r\nX-Filler: " : "HTTP/1.1 200 OK\r\n\r\n", false);
         } else {
+            if (first && should_inject("repeat-answer", faults.repeat_answer)) {
+                repeat_later(it, bytes);
+            }
             enqueue(it, std::move(bytes), false);
         }
     }
 
+    void repeat_later(direction& it, std::string bytes) {
+        const auto timer = std::make_shared<asio::steady_timer>(owner_->context, repeat_delay);
+        timer->async_wait(
+            [self = shared_from_this(), &it, timer, bytes = std::move(bytes)](error_code ec) mutable {
+                if (!ec && self->client_.is_open()) {
+                    self->enqueue(it, std::move(bytes), false);
+                }
+            });
+    }
+
     bool should_inject(const char* name, double share) {
         if (!owner_->draw(share)) {
             return false;
@@ -215,6 +238,10 @@
                               }
                               it.queue.pop_front();
                               it.writing = false;
+                              if (it.endless && it.queue.empty()) {
+                                  self->enqueue(it, std::string(buffer_bytes, 'x'), false);
+                                  return;
+                              }
                               self->write_next(it);
                           });
     }
--- a/src/libfaultproxy/rules.cpp
+++ b/src/libfaultproxy/rules.cpp
@@ -1,6 +1,6 @@
 #include "rules.h"
 
-#include <nlohmann/json.hpp>
+#include "jsontext.h"
 
 #include <algorithm>
 #include <set>
@@ -28,8 +28,9 @@
 
 fault_rule rule_from_json(const nlohmann::json& value) {
     static const std::set<std::string> known{
-        "source",  "destination", "port",       "delay_ms",    "jitter_ms",      "cut",
-        "lose_to", "lose_back",   "cut_answer", "half_answer", "garbage_answer", "cut_after_request"};
+        "source",         "destination",  "port",       "delay_ms",    "jitter_ms",      "cut",
+        "lose_to",        "lose_back",    "cut_answer", "half_answer", "garbage_answer", "cut_after_request",
+        "endless_answer", "repeat_answer"};
     for (const auto& [name, it] : value.items()) {
         if (!known.contains(name)) {
             throw std::invalid_argument{"\"" + name + "\" is not a known member of a rule"};
@@ -53,6 +54,8 @@
     rule.cut_answer = value.value("cut_answer", rule.cut_answer);
     rule.half_answer = value.value("half_answer", rule.half_answer);
     rule.garbage_answer = value.value("garbage_answer", rule.garbage_answer);
+    rule.endless_answer = value.value("endless_answer", rule.endless_answer);
+    rule.repeat_answer = value.value("repeat_answer", rule.repeat_answer);
     return rule;
 }
 
@@ -79,7 +82,7 @@
 result<std::vector<fault_rule>> parse_rules(std::string_view text) {
     std::vector<fault_rule> rules;
     try {
-        const auto body = nlohmann::json::parse(text);
+        const auto body = parse_json_or_discard(text);
         for (const auto& it : body.at("rules")) {
             rules.push_back(rule_from_json(it));
         }
@@ -107,6 +110,8 @@
         sum.cut_answer = std::max(sum.cut_answer, it.cut_answer);
         sum.half_answer = std::max(sum.half_answer, it.half_answer);
         sum.garbage_answer = std::max(sum.garbage_answer, it.garbage_answer);
+        sum.endless_answer = std::max(sum.endless_answer, it.endless_answer);
+        sum.repeat_answer = std::max(sum.repeat_answer, it.repeat_answer);
     }
     return sum;
 }
--- a/src/libfaultproxy/rules.h
+++ b/src/libfaultproxy/rules.h
@@ -36,6 +36,8 @@
     double cut_answer = 0;     ///< share of the answers dropped by closing the connection
     double half_answer = 0;    ///< share of the answers whose first chunk is halved before the close
     double garbage_answer = 0; ///< share of the answers whose first chunk is randomised before the close
+    double endless_answer = 0; ///< share of the answers replaced by a head or a body without end
+    double repeat_answer = 0;  ///< share of the answers whose first chunk is sent again 50 ms later
 };
 
 /// Parses the body of POST /control, {"rules": [...]}, with the members of fault_rule; source and destination
--- a/src/libsoak/soakfaults.cpp
+++ b/src/libsoak/soakfaults.cpp
@@ -100,10 +100,11 @@
     });
 }
 
-/// Closes connections, truncates or corrupts answers, or drops or delays bytes between a target and its node.
+/// Closes connections, truncates, corrupts or repeats answers, replaces them by bytes without end, or drops
+/// or delays bytes between a target and its node.
 void soak_run::inject_target_link_fault(soak_vm& it) {
     auto rule = rule_for(any_source, it.target.listen);
-    switch (random_() % 6) {
+    switch (random_() % 8) {
     case 0:
         rule.cut_after_request = 0.3;
         break;
@@ -119,6 +120,12 @@
     case 4:
         rule.lose_back = true;
         break;
+    case 5:
+        rule.endless_answer = 0.3;
+        break;
+    case 6:
+        rule.repeat_answer = 0.3;
+        break;
     default:
         rule.delay_ms = 40;
         rule.jitter_ms = 100;
@@ -164,6 +171,18 @@
     apply_temporary_rule("store " + it.name, rule, time);
 }
 
+/// Writes an entry that names no target, as another program might, under a name of its own or that of a node.
+void soak_run::write_odd_entry(soak_vm& it) {
+    const std::array<std::string, 6> contents{std::string(100'000, '[') + std::string(100'000, ']'),
+                                              R"({"slots":1e400})",
+                                              R"({"peer":"127.0.0.1:70000"})",
+                                              R"("text")",
+                                              "null",
+                                              "[]"};
+    const auto name = random_() % 2 == 0 ? it.name : "foreign-" + std::to_string(random_() % 4);
+    store_->put(port_.target_kind, name, contents.at(random_() % contents.size()));
+}
+
 void soak_run::forget_history(soak_vm& /*it*/) {
     store_->discard_history();
 }
@@ -185,7 +204,7 @@
         const char* name;
         void (soak_run::*inject)(soak_vm&);
     };
-    static constexpr std::array<fault_kind, 13> kinds{
+    static constexpr std::array<fault_kind, 14> kinds{
         {{"node killed", &soak_run::kill_node},
          {"node paused", &soak_run::pause_node},
          {"node stopped", &soak_run::stop_node},
@@ -197,6 +216,7 @@
          {"store disturbed", &soak_run::inject_store_fault},
          {"store cut off", &soak_run::disconnect_store},
          {"history forgotten", &soak_run::forget_history},
+         {"odd entry", &soak_run::write_odd_entry},
          {"burst", &soak_run::burst},
          {"configuration changed", &soak_run::change_config}}};
     const auto& kind = kinds.at(random_() % kinds.size());
--- a/src/libsoak/soakrun.h
+++ b/src/libsoak/soakrun.h
@@ -100,6 +100,7 @@
     void inject_store_fault(soak_vm& it);
     void disconnect_store(soak_vm& it);
     void forget_history(soak_vm& it);
+    void write_odd_entry(soak_vm& it);
     void burst(soak_vm& it);
     void change_config(soak_vm& it);
 
