Read the store stale where a watch makes up for it, and spread configurations in a domain

Change: about three nodes of a failure domain watch the configuration without delay and push a new version to the others, whose watches may be stale; a node that sees a newer version in a hop, now also in a call that it receives, asks that peer first. Lists are stale where a watch from their revision makes up for it, never after a restart. Changes of targets are batched for 800 ms instead of 400.

--- a/src/libmesh/meshnode.cpp
+++ b/src/libmesh/meshnode.cpp
@@ -1,5 +1,6 @@
 #include "meshnode.h"
 
+#include "configspread.h"
 #include "localruns.h"
 #include "localtargetwatch.h"
 #include "outboundcalls.h"
@@ -103,8 +104,8 @@
         state_.metrics.count_event("unexpected_error");
         state_.log.write("unexpected-error", {{"error", what}});
     });
-    state_.on_newer_config = [this](std::uint64_t, const endpoint& peer) {
-        store_sync_.fetch_config([this, peer] { pull_peer_state(state_, peer); });
+    state_.on_newer_config = [this](const endpoint& peer) {
+        store_sync_.fetch_config(peer);
     };
     state_.on_unconfigured_peer = [this](const endpoint& peer) {
         push_peer_state(state_, peer);
@@ -164,6 +165,10 @@
         handle_peer_state(state_, request, *exchange);
         return;
     }
+    if (path_of(request.target) == peer_config_path && !find_header(request.headers, hop_header)) {
+        handle_peer_config(state_, request, *exchange);
+        return;
+    }
     const auto text = find_header(request.headers, hop_header);
     auto info = decode_hop_info(text.value_or(std::string_view{}));
     if (!info) {
@@ -173,6 +178,11 @@
         exchange->respond(json_response(400, R"({"error":"malformed"})"));
         return;
     }
+    if (info.value().config_version > config_version(state_)) {
+        if (const auto peer = find_peer(state_, exchange->remote_host())) {
+            store_sync_.fetch_config(*peer);
+        }
+    }
     std::erase_if(request.headers, [](const auto& field) { return field.first == hop_header; });
     const auto ended = std::make_shared<bool>(false);
     const auto id = start_local_run(state_, std::move(info.value()), std::move(request),
--- a/src/libmesh/meshstate.h
+++ b/src/libmesh/meshstate.h
@@ -129,8 +129,8 @@
     bool withdrawing = false;       ///< the published entry says that the target accepts no calls
     bool refusing_requests = false; ///< new requests of callers are refused during a stop
     bool refusing_runs = false;     ///< new calls to the local target are refused during a stop
-    /// Called when a hop result shows that a newer configuration exists.
-    std::function<void(std::uint64_t version, const endpoint& peer)> on_newer_config;
+    /// Called when a peer shows that it has a newer configuration.
+    std::function<void(const endpoint& peer)> on_newer_config;
     /// Called when a hop result shows that a peer has no configuration.
     std::function<void(const endpoint& peer)> on_unconfigured_peer;
 };
--- a/src/libmesh/objectclient.h
+++ b/src/libmesh/objectclient.h
@@ -45,7 +45,9 @@
     object_client(object_client&&) = delete;
     object_client& operator=(object_client&&) = delete;
 
-    virtual void list(std::string_view kind, list_callback fn) = 0;
+    /// Returns all objects. A stale list is older than its revision says, never newer, so that a watch from
+    /// that revision makes up for it.
+    virtual void list(std::string_view kind, freshness wanted, list_callback fn) = 0;
     /// Returns the changes after a revision as soon as there are any, or an empty list after `wait`.
     virtual void watch(std::string_view kind, std::uint64_t after, boot_duration wait, freshness wanted,
                        list_callback fn) = 0;
--- a/src/libmesh/outboundcalls.cpp
+++ b/src/libmesh/outboundcalls.cpp
@@ -145,7 +145,7 @@
     }
     if (call.hop_node != state.settings.node && it.load.capacity > 0) {
         if (it.config_version > config_version(state) && state.on_newer_config) {
-            state.on_newer_config(it.config_version, view.entry.peer);
+            state.on_newer_config(view.entry.peer);
         } else if (it.config_version == 0 && state.on_unconfigured_peer) {
             state.on_unconfigured_peer(view.entry.peer);
         }
--- a/src/libmesh/peerstate.cpp
+++ b/src/libmesh/peerstate.cpp
@@ -68,22 +68,21 @@
     exchange.respond(json_response(applied ? 200 : 400, "{}"));
 }
 
-void pull_peer_state(mesh_state& state, const endpoint& peer) {
+void pull_peer_state(mesh_state& state, const endpoint& peer, std::function<void()> done) {
     http_request request;
     request.target = peer_state_path;
     state.peer_client->send(
-        peer, std::move(request), exchange_timeout, [&state, peer](const http_result& answer) {
+        peer, std::move(request), exchange_timeout,
+        [&state, peer, done = std::move(done)](const http_result& answer) {
             const auto* response = std::get_if<http_response>(&answer);
             if (response == nullptr || response->status != 200) {
                 state.log.write("peer-state-unavailable", {{"peer", to_string(peer)}});
-                return;
-            }
-            const auto applied = apply_peer_state(state, response->body);
-            if (!applied) {
+            } else if (const auto applied = apply_peer_state(state, response->body); !applied) {
                 state.metrics.count_event("malformed_peer_state");
                 state.log.write("peer-state-rejected",
                                 {{"peer", to_string(peer)}, {"error", describe(applied.error())}});
             }
+            done();
         });
 }
 
--- a/src/libmesh/peerstate.h
+++ b/src/libmesh/peerstate.h
@@ -10,8 +10,8 @@
 /// Handles GET (send) and POST (receive) of the configuration and the targets.
 void handle_peer_state(mesh_state& state, const http_request& request, http_exchange& exchange);
 
-/// Requests the state of a peer and applies it. Used when the store does not answer.
-void pull_peer_state(mesh_state& state, const endpoint& peer);
+/// Requests the state of a peer, applies it and calls `done`. Used when the store does not answer.
+void pull_peer_state(mesh_state& state, const endpoint& peer, std::function<void()> done);
 
 /// Sends this node's state to a peer that has no configuration, at most once a second per peer. Does nothing
 /// while this node has no configuration.
--- a/src/libmesh/storesync.cpp
+++ b/src/libmesh/storesync.cpp
@@ -1,10 +1,12 @@
 #include "storesync.h"
 
+#include "configspread.h"
 #include "jsontext.h"
 #include "localtargetwatch.h"
+#include "peerstate.h"
 
+#include <algorithm>
 #include <map>
-#include <set>
 
 namespace baobabswitch {
 
@@ -20,7 +22,7 @@
 /// Delays before the next watch, which batch a burst of changes into few calls. A configuration has to take
 /// effect quickly. Target entries may be older, since the node beside a target decides whether a call runs.
 constexpr milliseconds config_watch_delay{60};
-constexpr milliseconds target_watch_delay{400};
+constexpr milliseconds target_watch_delay{800};
 /// Bounds of the exponential backoff after a failure. Jitter scales each delay by a factor between 0.5
 /// and 1.5.
 constexpr milliseconds min_backoff{120};
@@ -77,9 +79,10 @@
 struct store_sync::collection {
     std::string kind;
     std::function<void(const stored_object&)> on_object;
-    /// Called with the names of all objects after a complete list was read.
-    std::function<void(const std::set<std::string>&)> on_loaded;
-    freshness wanted = freshness::current;
+    /// Called with the names of all objects and the revision after a complete list was read.
+    std::function<void(const std::set<std::string>&, std::uint64_t)> on_loaded;
+    bool watched_without_delay = false;            ///< the objects come from a watch that must not be stale
+    freshness list_freshness = freshness::current; ///< of the next list
     milliseconds watch_delay = config_watch_delay;
     std::uint64_t revision = 0;
     unsigned failures = 0;
@@ -94,12 +97,13 @@
       targets_(std::make_unique<collection>()) {
     config_->kind = state.port.config_kind;
     config_->on_object = [this](const stored_object& it) {
-        apply_config(it);
+        if (apply_config(it) && config_->watched_without_delay) {
+            push_config_to_domain(state_);
+        }
     };
-    config_->on_loaded = [](const std::set<std::string>&) {
+    config_->on_loaded = [](const std::set<std::string>&, std::uint64_t) {
     };
     targets_->kind = state.port.target_kind;
-    targets_->wanted = freshness::stale;
     targets_->watch_delay = target_watch_delay;
     targets_->on_object = [this](const stored_object& it) {
         apply_target(it);
@@ -108,22 +112,8 @@
             publish_own_entry([](bool) {});
         }
     };
-    targets_->on_loaded = [this](const std::set<std::string>& names) {
-        std::vector<std::string> gone;
-        for (const auto& [node, view] : state_.targets.by_node) {
-            if (!names.contains(node) && node != state_.settings.node) {
-                gone.push_back(node);
-            }
-        }
-        for (const auto& node : gone) {
-            remove_target(state_.targets, node);
-        }
-        if (!names.contains(state_.settings.node)) {
-            stored_entry_.reset();
-            own_revision_ = 0;
-        }
-        state_.targets_known = true;
-        publish_own_entry([](bool) {});
+    targets_->on_loaded = [this](const std::set<std::string>& names, std::uint64_t revision) {
+        on_targets_loaded(names, revision);
     };
 }
 
@@ -131,7 +121,31 @@
     *alive_ = false;
 }
 
+void store_sync::on_targets_loaded(const std::set<std::string>& names, std::uint64_t revision) {
+    std::vector<std::string> gone;
+    for (const auto& [node, view] : state_.targets.by_node) {
+        // A stale list may lack entries that are newer than its revision.
+        if (!names.contains(node) && node != state_.settings.node && view.entry.revision <= revision) {
+            gone.push_back(node);
+        }
+    }
+    for (const auto& node : gone) {
+        remove_target(state_.targets, node);
+    }
+    if (!names.contains(state_.settings.node) && own_revision_ <= revision) {
+        stored_entry_.reset();
+        own_revision_ = 0;
+    }
+    state_.targets_known = true;
+    publish_own_entry([](bool) {});
+}
+
 void store_sync::start() {
+    // A node that was restarted needs its own entry as it is now: it says whether the target left. When the
+    // whole system starts for the first time, there is none.
+    const auto wanted = state_.settings.first_start ? freshness::stale : freshness::current;
+    config_->list_freshness = wanted;
+    targets_->list_freshness = wanted;
     load(*config_);
     load(*targets_);
 }
@@ -150,7 +164,7 @@
 }
 
 void store_sync::load(collection& it) {
-    store_.list(it.kind, [this, &it, alive = alive_](result<object_list> listed) {
+    store_.list(it.kind, it.list_freshness, [this, &it, alive = alive_](result<object_list> listed) {
         if (!*alive) {
             return;
         }
@@ -162,17 +176,33 @@
         it.failures = 0;
         it.revision = listed.value().revision;
         count_unreadable(it, listed.value());
+        it.watched_without_delay = false;
         std::set<std::string> names;
         for (const auto& object : listed.value().objects) {
             names.insert(object.name);
             it.on_object(object);
         }
         std::erase_if(it.rejected, [&](const auto& entry) { return !names.contains(entry.first); });
-        it.on_loaded(names);
+        it.on_loaded(names, it.revision);
+        // If the history since a stale list is gone, the next list must be current.
+        it.list_freshness = freshness::current;
         probe_and_watch(it);
     });
 }
 
+/// Chooses the freshness of the next watch. Target entries may be older than the configuration, since the
+/// node beside a target decides whether a call runs.
+freshness store_sync::choose_freshness(const collection& it) {
+    if (&it == targets_.get()) {
+        return freshness::stale;
+    }
+    const auto& nodes = state_.targets.by_node;
+    const auto known = std::count_if(nodes.begin(), nodes.end(), [&](const auto& node) {
+        return node.second.entry.domain == state_.settings.domain;
+    });
+    return choose_config_freshness(static_cast<std::size_t>(known), uniform(state_));
+}
+
 /// Watches for changes. If the store has stopped responding, a watch fails only after its full duration, so a
 /// short and cheap watch first checks that the store answers.
 void store_sync::probe_and_watch(collection& it) {
@@ -181,7 +211,7 @@
 
 void store_sync::watch(collection& it, boot_duration wait, freshness wanted) {
     store_.watch(it.kind, it.revision, wait, wanted,
-                 [this, &it, wait, alive = alive_](result<object_list> changes) {
+                 [this, &it, wait, wanted, alive = alive_](result<object_list> changes) {
                      if (!*alive) {
                          return;
                      }
@@ -196,13 +226,15 @@
                          return;
                      }
                      it.failures = 0;
+                     it.list_freshness = freshness::stale;
                      it.revision = std::max(it.revision, changes.value().revision);
                      count_unreadable(it, changes.value());
+                     it.watched_without_delay = wanted == freshness::current;
                      for (const auto& object : changes.value().objects) {
                          it.on_object(object);
                      }
                      if (wait == probe_watch_duration && changes.value().objects.empty()) {
-                         watch(it, max_watch_duration, it.wanted);
+                         watch(it, max_watch_duration, choose_freshness(it));
                          return;
                      }
                      state_.loop.schedule(it.watch_delay, [this, &it, alive] {
@@ -229,12 +261,13 @@
     });
 }
 
-void store_sync::apply_config(const stored_object& it) {
+bool store_sync::apply_config(const stored_object& it) {
     if (it.name != state_.port.config_name || it.deleted) {
-        return;
+        return false;
     }
     // adopt_config() logs a rejected document and keeps the current one.
-    (void)adopt_config(state_, it.content, "store");
+    const auto adopted = adopt_config(state_, it.content, "store");
+    return adopted && adopted.value();
 }
 
 void store_sync::apply_target(const stored_object& it) {
@@ -298,24 +331,40 @@
     }
 }
 
-void store_sync::fetch_config(std::function<void()> on_failed) {
+void store_sync::fetch_config(const endpoint& peer) {
     if (config_fetch_pending_) {
         return;
     }
     config_fetch_pending_ = true;
-    store_.get(state_.port.config_kind, state_.port.config_name,
-               [this, alive = alive_, on_failed = std::move(on_failed)](result<stored_object> read) {
-                   if (!*alive) {
-                       return;
-                   }
-                   config_fetch_pending_ = false;
-                   record_store_result(read.has_value(), "get");
-                   if (!read) {
-                       on_failed();
-                       return;
-                   }
-                   apply_config(read.value());
-               });
+    if (!connected_) {
+        // Without the store, the peer also tells which targets there are.
+        pull_peer_state(state_, peer, [this, alive = alive_] {
+            if (*alive) {
+                config_fetch_pending_ = false;
+            }
+        });
+        return;
+    }
+    pull_peer_config(state_, peer, [this, alive = alive_](bool newer) {
+        if (!*alive) {
+            return;
+        }
+        if (newer) {
+            config_fetch_pending_ = false;
+            return;
+        }
+        store_.get(state_.port.config_kind, state_.port.config_name,
+                   [this, alive](const result<stored_object>& read) {
+                       if (!*alive) {
+                           return;
+                       }
+                       config_fetch_pending_ = false;
+                       record_store_result(read.has_value(), "get");
+                       if (read) {
+                           apply_config(read.value());
+                       }
+                   });
+    });
 }
 
 void store_sync::publish_own_entry(std::function<void(bool)> done) {
--- a/src/libmesh/storesync.h
+++ b/src/libmesh/storesync.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace baobabswitch {
 
@@ -22,9 +23,9 @@
 
     /// Starts to load and watch the store.
     void start();
-    /// Reads the configuration immediately and calls `on_failed` if the store does not return it. Does
-    /// nothing while an earlier read is in progress.
-    void fetch_config(std::function<void()> on_failed);
+    /// Reads the configuration of a peer that has a newer one, or of the store if the peer does not return
+    /// it. Does nothing while an earlier read is in progress.
+    void fetch_config(const endpoint& peer);
     /// Writes this node's entry if it differs from the stored one. After the write succeeded or failed, calls
     /// `done` with whether the current entry is stored.
     void publish_own_entry(std::function<void(bool)> done);
@@ -41,7 +42,10 @@
     void probe_and_watch(collection& it);
     void watch(collection& it, boot_duration wait, freshness wanted);
     void retry(collection& it, bool reload);
-    void apply_config(const stored_object& it);
+    freshness choose_freshness(const collection& it);
+    void on_targets_loaded(const std::set<std::string>& names, std::uint64_t revision);
+    /// Returns whether the configuration in force changed.
+    bool apply_config(const stored_object& it);
     void apply_target(const stored_object& it);
     void reject_entry(const stored_object& it, const error& cause);
     void count_unreadable(const collection& it, const object_list& list);
--- a/tests/adapter/test_metadatastore.cpp
+++ b/tests/adapter/test_metadatastore.cpp
@@ -78,7 +78,7 @@
     }
     std::optional<result<object_list>> list() {
         std::optional<result<object_list>> listed;
-        client->list("targets", [&](result<object_list> it) { listed = std::move(it); });
+        client->list("targets", freshness::current, [&](result<object_list> it) { listed = std::move(it); });
         run_for(milliseconds{200});
         return listed;
     }
@@ -194,5 +194,5 @@
     const auto listed = it.list();
     REQUIRE((listed && *listed));
     REQUIRE(requests.size() == 2);
-    CHECK(requests[1].find("?after=a%20b%26c%0D%0A ") != std::string::npos);
+    CHECK(requests[1].find("&after=a%20b%26c%0D%0A ") != std::string::npos);
 }
--- a/tests/mesh/meshrig.cpp
+++ b/tests/mesh/meshrig.cpp
@@ -23,7 +23,7 @@
 public:
     memory_object_client(event_loop& loop, memory_object_store& store) : loop_(loop), store_(store) {}
 
-    void list(std::string_view kind, list_callback fn) override {
+    void list(std::string_view kind, freshness /*wanted*/, list_callback fn) override {
         respond([this, kind = std::string{kind}, fn = std::move(fn)] { fn(read_list(kind)); });
     }
     void watch(std::string_view kind, std::uint64_t after, boot_duration wait, freshness /*wanted*/,
