Take fresher levels, fill all usable slots, and start the queued call with least slack

New requests queued behind nested calls of less important ones and expired after an eighth of their objective. Change: reports are averaged over 50 ms whatever their number; the controller uses the utilization as it is and regulates to all usable slots; queued calls start in the order of the time that they can still wait.

--- a/src/libmesh/admissionlevel.cpp
+++ b/src/libmesh/admissionlevel.cpp
@@ -1,13 +1,15 @@
 #include "admissionlevel.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace baobabswitch {
 
 namespace {
 
-/// Utilization that the controller regulates to: wastes little capacity, but calls seldom queue.
-constexpr double utilization_setpoint = 0.88;
+/// Utilization that the controller regulates to: all usable slots are taken. With tens of slots, the calls
+/// that then queue wait a small part of their service time.
+constexpr double utilization_setpoint = 1.0;
 /// Gains per unit of utilization error: of the proportional term, and of the integral term per second. The
 /// proportional term recovers as soon as the queue is empty, so the level does not stay low while calls that
 /// were admitted earlier still finish.
@@ -20,13 +22,14 @@
 constexpr double delay_setpoint_ms = 8;
 /// Upper bound of the utilization derived from a delay, so that the level recovers quickly.
 constexpr double max_delay_utilization = 2;
-/// Time constant of the utilization average.
-constexpr double smoothing_ms = 100;
 /// Above zero, so that some requests are always admitted and their responses report the current level.
 constexpr double min_level = 0.1;
-/// Weight of one report in the level of a service, which averages over its targets, and weight of one request
-/// in the costs of a route.
-constexpr double observation_weight = 0.2;
+/// Time over which the reports of a service's level are averaged, and the smallest weight of a report. A node
+/// that exchanges many calls averages over many reports; one with few takes each nearly as it is, since it is
+/// late enough without an average.
+constexpr double level_averaging_ms = 50;
+constexpr double min_report_weight = 0.05;
+/// Weight of one request in the costs of a route.
 constexpr double cost_weight = 0.05;
 /// A service at which a request of the route causes less service time than this does not limit the admission
 /// to the route.
@@ -39,8 +42,8 @@
 
 void update_level(level_control& it, double utilization, boot_duration elapsed) {
     const double ms = std::min(to_ms(elapsed), 200.0);
-    it.smoothed_utilization += std::min(1.0, ms / smoothing_ms) * (utilization - it.smoothed_utilization);
-    const double error = utilization_setpoint - it.smoothed_utilization;
+    it.utilization = utilization;
+    const double error = utilization_setpoint - utilization;
     const double gain = error < 0 ? integral_fall_gain : integral_rise_gain;
     it.integral = std::clamp(it.integral + gain * error * ms / 1000, min_level, it.max_level);
     it.level = std::clamp(it.integral + proportional_gain * error, min_level, it.max_level);
@@ -61,7 +64,9 @@
     if (inserted || seen.at <= it->second.at - std::chrono::milliseconds{200}) {
         return;
     }
-    it->second.level += observation_weight * (seen.level - it->second.level);
+    const double newer_ms = std::max(0.0, to_ms(seen.at - it->second.at));
+    const double weight = std::max(min_report_weight, 1 - std::exp(-newer_ms / level_averaging_ms));
+    it->second.level += weight * (seen.level - it->second.level);
     it->second.at = std::max(it->second.at, seen.at);
 }
 
--- a/src/libmesh/admissionlevel.h
+++ b/src/libmesh/admissionlevel.h
@@ -14,10 +14,10 @@
 /// a random part) is below the level is admitted at entry. The level falls while the utilization is above the
 /// setpoint and rises while it is below.
 struct level_control {
-    double level = 1;                ///< in [min_level, max_level]
-    double max_level = 1;            ///< at this level every request is admitted
-    double smoothed_utilization = 0; ///< exponential moving average
-    double integral = 1;             ///< integral term, follows sustained overload
+    double level = 1;       ///< in [min_level, max_level]
+    double max_level = 1;   ///< at this level every request is admitted
+    double utilization = 0; ///< of the last update
+    double integral = 1;    ///< integral term, follows sustained overload
 };
 
 /// Updates the level with the utilization (running and waiting calls per usable slot) over the last
--- a/src/libmesh/concurrencylimiter.cpp
+++ b/src/libmesh/concurrencylimiter.cpp
@@ -76,8 +76,8 @@
         static_cast<double>(limiter.waiting.size()) >= queue_factor * capacity) {
         return slot_decision::refuse;
     }
-    // Adding half of the objective starts calls with a short objective before those with a long one.
-    insert_waiting(limiter, {request, now, now + max_wait, now + request.latency_objective / 2});
+    const auto objective_part = from_ms(to_ms(request.latency_objective) * max_wait_fraction);
+    insert_waiting(limiter, {request, now, now + max_wait, now + max_wait + objective_part});
     return slot_decision::wait;
 }
 
--- a/src/libmesh/concurrencylimiter.h
+++ b/src/libmesh/concurrencylimiter.h
@@ -29,7 +29,10 @@
     slot_request request;
     boot_time_point arrived_at;
     boot_time_point start_by; ///< the call expires then, since it would finish too late
-    boot_time_point sort_key; ///< the earliest is started first
+    /// The earliest is started first. It follows start_by, so that new requests, which wait a small part of
+    /// their objective, are not starved by calls of running ones, and of those the ones with least time left
+    /// go first. With equal time left a shorter objective goes first.
+    boot_time_point sort_key;
 };
 
 /// Limits the concurrent calls of the local target. All calls to the target pass through it, so the number of
--- a/src/libmesh/meshnode.cpp
+++ b/src/libmesh/meshnode.cpp
@@ -298,7 +298,7 @@
                                          {"processor_level", state_.processor_level.level},
                                          {"loop_delay_ms", to_ms(loop_delay_)},
                                          {"open", state_.level.max_level},
-                                         {"utilization", state_.level.smoothed_utilization},
+                                         {"utilization", state_.level.utilization},
                                          {"running", state_.limiter.running},
                                          {"waiting", state_.limiter.waiting.size()},
                                          {"slots", state_.limiter.slots},
