--- a/tests/soak/test_soak.cpp
+++ b/tests/soak/test_soak.cpp
@@ -79,7 +79,8 @@
     store_fixture it;
     it.store->put("config", "main", R"({"n":1})");
     std::uint64_t revision = 0;
-    it.client->list("config", [&](const result<object_list>& all) { revision = all.value().revision; });
+    it.client->list("config", freshness::current,
+                    [&](const result<object_list>& all) { revision = all.value().revision; });
     it.run_for(milliseconds{100});
     std::vector<std::string> seen;
     it.client->watch("config", revision, std::chrono::seconds{5}, freshness::current,
