--- a/src/libmesh/localruns.cpp
+++ b/src/libmesh/localruns.cpp
@@ -99,6 +99,9 @@
     if (failure.kind == http_failure_kind::cancelled) {
         return "caller-gone";
     }
+    if (failure.kind == http_failure_kind::memory_exhausted) {
+        return "response-memory-short";
+    }
     if (!failure.sent) {
         return failure.kind == http_failure_kind::timeout ? "expired" : "target-unreachable";
     }
--- a/src/libmesh/outboundcalls.cpp
+++ b/src/libmesh/outboundcalls.cpp
@@ -38,6 +38,7 @@
 constexpr std::string_view reason_hop_cut = "hop-cut";
 constexpr std::string_view reason_caller_gone = "caller-gone";
 constexpr std::string_view reason_unreachable = "node-unreachable";
+constexpr std::string_view reason_memory_short = "response-memory-short";
 
 const route& route_of(const outbound_call& call) {
     return call.config->config.routes[call.route_index];
@@ -210,9 +211,10 @@
     hop_result it;
     if (const auto* failure = std::get_if<http_failure>(&answer)) {
         it.outcome = failure->sent ? hop_outcome::unknown : hop_outcome::not_run;
-        it.reason = failure->kind == http_failure_kind::cancelled ? reason_caller_gone
-                    : failure->sent                               ? reason_hop_cut
-                                                                  : reason_unreachable;
+        it.reason = failure->kind == http_failure_kind::cancelled          ? reason_caller_gone
+                    : failure->kind == http_failure_kind::memory_exhausted ? reason_memory_short
+                    : failure->sent                                        ? reason_hop_cut
+                                                                           : reason_unreachable;
         return it;
     }
     auto& response = std::get<http_response>(answer);
