--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -802,12 +802,19 @@
             beats_.join();
         }
     }
+    /// Returns the next heartbeat.
+    std::string make_beat() {
+        return json{{"address", it_.at(it_.app).str()},
+                    {"born", born_ms_},
+                    {"info", {{"service", it_.service}, {"version", "v1"}, {"zone", it_.zone}, {"slots", slots_}}},
+                    {"status", {{"state", state_}, {"sequence", ++sequence_}, {"cold_left_s", 0}}}}
+            .dump();
+    }
+    bool send_beat(const std::string& body) {
+        return call("PUT", body);
+    }
     bool beat() {
-        const json body{{"address", it_.at(it_.app).str()},
-                        {"born", born_ms_},
-                        {"info", {{"service", it_.service}, {"version", "v1"}, {"zone", it_.zone}, {"slots", slots_}}},
-                        {"status", {{"state", state_}, {"sequence", ++sequence_}, {"cold_left_s", 0}}}};
-        return call("PUT", body.dump());
+        return send_beat(make_beat());
     }
     /// Sends the withdrawal of the server. Returns whether it was acknowledged within a second.
     bool withdraw() {
