Tie revisions to the era of the store

Cause: the copy sets the revision counter back, and its numbers are given out again. Nodes watched on from a number that the store had again for another change, so they saw neither 410 nor the new version. Store-Era, which tells the histories apart, was not read. A node's own entry that was lost stayed lost for the same reason, and with it the mark that its target had left.

Change: a revision is a pair of era and number (store_revision). The first response of a later era voids all revisions that a node holds; it lists both kinds again and writes its entry again. A response of an earlier era changes nothing.

--- a/src/libmesh/meshnode.cpp
+++ b/src/libmesh/meshnode.cpp
@@ -283,6 +283,7 @@
     it.set_gauge("calls_in_flight", static_cast<double>(state_.calls.size()));
     it.set_gauge("invariant_violations", static_cast<double>(violations(state_.invariants)));
     it.set_gauge("store_connected", store_sync_.is_connected() ? 1 : 0);
+    it.set_gauge("store_era", static_cast<double>(store_sync_.era()));
 }
 
 void mesh_node::tick() {
--- a/src/libmesh/peerstate.cpp
+++ b/src/libmesh/peerstate.cpp
@@ -22,7 +22,9 @@
 std::string encode_peer_state(const mesh_state& state) {
     json targets = json::object();
     for (const auto& [node, view] : state.targets.by_node) {
-        targets[node] = {{"revision", view.entry.revision}, {"content", encode_entry(view.entry)}};
+        targets[node] = {{"era", view.entry.revision.era},
+                         {"revision", view.entry.revision.number},
+                         {"content", encode_entry(view.entry)}};
     }
     return print_json(json{{"version", config_version(state)},
                            {"document", state.config ? state.config->document : std::string{}},
@@ -37,8 +39,11 @@
     for (const auto& [node, stored] : targets->items()) {
         stored_object object;
         object.name = node;
+        // Nodes of earlier builds send no era.
         const bool readable =
-            read_field(stored, "revision", object.revision) && read_field(stored, "content", object.content);
+            read_field(stored, "revision", object.revision.number) &&
+            (find_field(stored, "era") == nullptr || read_field(stored, "era", object.revision.era)) &&
+            read_field(stored, "content", object.content);
         const auto entry = readable ? decode_entry(object) : unreadable_entry(node);
         if (!entry) {
             state.metrics.count_event("malformed_entry");
--- a/src/libmesh/storesync.cpp
+++ b/src/libmesh/storesync.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 namespace baobabswitch {
 
@@ -23,6 +24,8 @@
 /// effect quickly. Target entries may be older, since the node beside a target decides whether a call runs.
 constexpr milliseconds config_watch_delay{60};
 constexpr milliseconds target_watch_delay{800};
+/// Time within which nodes write their entries again after the store came back from a copy.
+constexpr std::chrono::seconds rewrite_time{2};
 /// Bounds of the exponential backoff after a failure. Jitter scales each delay by a factor between 0.5
 /// and 1.5.
 constexpr milliseconds min_backoff{120};
@@ -80,16 +83,18 @@
     std::string kind;
     std::function<void(const stored_object&)> on_object;
     /// Called with the names of all objects and the revision after a complete list was read.
-    std::function<void(const std::set<std::string>&, std::uint64_t)> on_loaded;
+    std::function<void(const std::set<std::string>&, const store_revision&)> on_loaded;
     bool watched_without_delay = false; ///< the objects come from a watch that must not be stale
     bool relies_on_others = false;      ///< a long watch that may be stale is waiting
-    unsigned watch_number = 0;          ///< of the current watch; answers to earlier ones are ignored
+    bool avoids_stale_reads = false;    ///< the last one was answered from an earlier era
+    /// Number of the current list, watch or pause; the ends of earlier ones are ignored.
+    unsigned step = 0;
     freshness list_freshness = freshness::current; ///< of the next list
     milliseconds watch_delay = config_watch_delay;
-    std::uint64_t revision = 0;
+    store_revision revision;
     unsigned failures = 0;
     /// Revisions of the entries that were rejected last, by name; each is logged once.
-    std::map<std::string, std::uint64_t, std::less<>> rejected;
+    std::map<std::string, store_revision, std::less<>> rejected;
 };
 
 store_sync::store_sync(mesh_state& state, object_client& store)
@@ -103,7 +108,7 @@
             push_config_to_domain(state_);
         }
     };
-    config_->on_loaded = [](const std::set<std::string>&, std::uint64_t) {
+    config_->on_loaded = [](const std::set<std::string>&, const store_revision&) {
     };
     targets_->kind = state.port.target_kind;
     targets_->watch_delay = target_watch_delay;
@@ -114,7 +119,7 @@
             publish_own_entry([](bool) {});
         }
     };
-    targets_->on_loaded = [this](const std::set<std::string>& names, std::uint64_t revision) {
+    targets_->on_loaded = [this](const std::set<std::string>& names, const store_revision& revision) {
         on_targets_loaded(names, revision);
     };
 }
@@ -123,11 +128,71 @@
     *alive_ = false;
 }
 
-void store_sync::on_targets_loaded(const std::set<std::string>& names, std::uint64_t revision) {
+std::uint64_t store_sync::era() const {
+    return era_;
+}
+
+void store_sync::follow_era() {
+    const auto latest = store_.era();
+    if (latest == era_) {
+        return;
+    }
+    const auto previous = std::exchange(era_, latest);
+    if (!is_known(config_->revision) && !is_known(targets_->revision) && !is_known(own_revision_)) {
+        return;
+    }
+    era_began_ = boot_clock::now();
+    state_.metrics.count_event("store_era_changed");
+    state_.log.write_always("store-era", {{"era", era_},
+                                          {"previous", previous},
+                                          {"config_revision", config_->revision.number},
+                                          {"targets_revision", targets_->revision.number},
+                                          {"own_revision", own_revision_.number}});
+    own_revision_ = {};
+    stored_entry_.reset();
+    for (auto* it : {config_.get(), targets_.get()}) {
+        it->revision = {};
+        it->rejected.clear();
+        it->list_freshness = freshness::current;
+        it->failures = 0;
+        retry(*it, true);
+    }
+    state_.loop.schedule(rewrite_time, [this, latest, alive = alive_] {
+        if (*alive && era_ == latest) {
+            remove_unwritten_entries();
+        }
+    });
+}
+
+bool store_sync::is_outdated(const store_revision& it, std::string_view call) {
+    if (it.era >= era_) {
+        return false;
+    }
+    state_.metrics.count_event("outdated_store_response");
+    state_.log.write("store-response-outdated",
+                     {{"call", call}, {"era", it.era}, {"current_era", era_}, {"revision", it.number}});
+    return true;
+}
+
+void store_sync::remove_unwritten_entries() {
+    if (targets_->revision.era != era_) {
+        return; // on_targets_loaded() removes them once there is a list.
+    }
+    std::erase_if(state_.targets.by_node, [this](const auto& it) {
+        const auto& revision = it.second.entry.revision;
+        return it.first != state_.settings.node && is_known(revision) && revision.era < era_;
+    });
+}
+
+void store_sync::on_targets_loaded(const std::set<std::string>& names, const store_revision& revision) {
+    const bool rewriting = boot_clock::now() - era_began_ < rewrite_time;
     std::vector<std::string> gone;
     for (const auto& [node, view] : state_.targets.by_node) {
-        // A stale list may lack entries that are newer than its revision.
-        if (!names.contains(node) && node != state_.settings.node && view.entry.revision <= revision) {
+        const auto& known = view.entry.revision;
+        // A stale list may lack entries that are newer than its revision, and the list of a new era those
+        // that their nodes have yet to write again.
+        const bool may_return = rewriting && is_known(known) && known.era < revision.era;
+        if (!names.contains(node) && node != state_.settings.node && known <= revision && !may_return) {
             gone.push_back(node);
         }
     }
@@ -136,7 +201,10 @@
     }
     if (!names.contains(state_.settings.node) && own_revision_ <= revision) {
         stored_entry_.reset();
-        own_revision_ = 0;
+        own_revision_ = {};
+    }
+    if (removed_ && is_known(own_revision_)) {
+        remove_own_entry([] {}); // The store has lost the removal.
     }
     state_.targets_known = true;
     publish_own_entry([](bool) {});
@@ -166,15 +234,25 @@
 }
 
 void store_sync::load(collection& it) {
-    store_.list(it.kind, it.list_freshness, [this, &it, alive = alive_](result<object_list> listed) {
+    const auto step = ++it.step;
+    store_.list(it.kind, it.list_freshness, [this, &it, step, alive = alive_](result<object_list> listed) {
         if (!*alive) {
             return;
         }
         record_store_result(listed.has_value(), "list");
+        follow_era();
+        if (step != it.step) {
+            return;
+        }
         if (!listed) {
             retry(it, true);
             return;
         }
+        if (is_outdated(listed.value().revision, "list")) {
+            it.list_freshness = freshness::current;
+            retry(it, true);
+            return;
+        }
         it.failures = 0;
         it.revision = listed.value().revision;
         count_unreadable(it, listed.value());
@@ -195,6 +273,9 @@
 /// Chooses the freshness of the next watch. Target entries may be older than the configuration, since the
 /// node beside a target decides whether a call runs.
 freshness store_sync::choose_freshness(const collection& it) {
+    if (it.avoids_stale_reads) {
+        return freshness::current;
+    }
     if (&it == targets_.get()) {
         return freshness::stale;
     }
@@ -220,18 +301,22 @@
 /// Watches for changes. If the store has stopped responding, a watch fails only after its full duration, so a
 /// short and cheap watch first checks that the store answers.
 void store_sync::probe_and_watch(collection& it) {
-    watch(it, probe_watch_duration, freshness::stale);
+    watch(it, probe_watch_duration, it.avoids_stale_reads ? freshness::current : freshness::stale);
 }
 
 void store_sync::watch(collection& it, boot_duration wait, freshness wanted) {
-    const auto number = ++it.watch_number;
+    const auto step = ++it.step;
     it.relies_on_others = &it == config_.get() && wait == max_watch_duration && wanted == freshness::stale;
     if (&it == config_.get() && wait == max_watch_duration) {
         state_.watches_config = wanted == freshness::current;
     }
     store_.watch(it.kind, it.revision, wait, wanted,
-                 [this, &it, number, wait, wanted, alive = alive_](result<object_list> changes) {
-                     if (!*alive || number != it.watch_number) {
+                 [this, &it, step, wait, wanted, alive = alive_](result<object_list> changes) {
+                     if (!*alive) {
+                         return;
+                     }
+                     follow_era();
+                     if (step != it.step) {
                          return;
                      }
                      it.relies_on_others = false;
@@ -245,6 +330,12 @@
                          retry(it, reload);
                          return;
                      }
+                     if (is_outdated(changes.value().revision, "watch")) {
+                         it.avoids_stale_reads = true;
+                         retry(it, false);
+                         return;
+                     }
+                     it.avoids_stale_reads = it.avoids_stale_reads && wait == probe_watch_duration;
                      it.failures = 0;
                      it.list_freshness = freshness::stale;
                      it.revision = std::max(it.revision, changes.value().revision);
@@ -257,8 +348,8 @@
                          watch(it, max_watch_duration, choose_freshness(it));
                          return;
                      }
-                     state_.loop.schedule(it.watch_delay, [this, &it, alive] {
-                         if (*alive) {
+                     state_.loop.schedule(it.watch_delay, [this, &it, step, alive] {
+                         if (*alive && step == it.step) {
                              probe_and_watch(it);
                          }
                      });
@@ -271,9 +362,10 @@
     }
     const auto base = std::min<milliseconds>(min_backoff * (1U << std::min(it.failures, 4U)), max_backoff);
     ++it.failures;
+    const auto step = ++it.step;
     const auto pause = std::chrono::duration_cast<duration>(from_ms(to_ms(base) * (0.5 + uniform(state_))));
-    state_.loop.schedule(pause, [this, &it, reload, alive = alive_] {
-        if (!*alive) {
+    state_.loop.schedule(pause, [this, &it, step, reload, alive = alive_] {
+        if (!*alive || step != it.step) {
             return;
         }
         if (reload) {
@@ -300,7 +392,7 @@
             remove_target(state_.targets, it.name);
         } else if (it.revision >= own_revision_) {
             stored_entry_.reset();
-            own_revision_ = 0;
+            own_revision_ = {};
             publish_own_entry([](bool) {});
         }
         return;
@@ -331,7 +423,7 @@
                                           {"service", entry.service},
                                           {"instance", entry.instance},
                                           {"accepting", entry.accepting},
-                                          {"revision", entry.revision}});
+                                          {"revision", entry.revision.number}});
     }
 }
 
@@ -343,14 +435,14 @@
     known = it.revision;
     state_.metrics.count_event("malformed_entry");
     state_.log.write("entry-rejected",
-                     {{"name", it.name}, {"revision", it.revision}, {"error", describe(cause)}});
+                     {{"name", it.name}, {"revision", it.revision.number}, {"error", describe(cause)}});
 }
 
 void store_sync::count_unreadable(const collection& it, const object_list& list) {
     if (list.unreadable > 0) {
         state_.metrics.count_event("malformed_entry");
         state_.log.write("entries-unreadable",
-                         {{"kind", it.kind}, {"count", list.unreadable}, {"revision", list.revision}});
+                         {{"kind", it.kind}, {"count", list.unreadable}, {"revision", list.revision.number}});
     }
 }
 
@@ -383,7 +475,8 @@
                        }
                        config_fetch_pending_ = false;
                        record_store_result(read.has_value(), "get");
-                       if (read) {
+                       follow_era();
+                       if (read && !is_outdated(read.value().revision, "get")) {
                            apply_config(read.value());
                        }
                    });
@@ -400,7 +493,7 @@
 void store_sync::write_own_entry() {
     const auto wanted = own_entry(state_);
     target_entry known = stored_entry_.value_or(target_entry{});
-    known.revision = 0;
+    known.revision = {};
     if (!state_.target.current || known == wanted || removed_) {
         finish_write(known == wanted);
         return;
@@ -413,7 +506,7 @@
             on_written(std::move(it));
         }
     };
-    if (own_revision_ == 0) {
+    if (!is_known(own_revision_)) {
         store_.create(state_.port.target_kind, wanted.node, encode_entry(wanted), written);
         return;
     }
@@ -426,6 +519,11 @@
     const bool conflict = !written && written.error().kind == error_kind::conflict;
     const bool gone = !written && written.error().kind == error_kind::not_found;
     record_store_result(written.has_value() || conflict || gone, "write");
+    follow_era();
+    if (written && is_outdated(written.value().revision, "write")) {
+        write_own_entry();
+        return;
+    }
     if (written) {
         apply_target(written.value());
         write_own_entry(); // Writes again if the entry has changed meanwhile; otherwise completes the write.
@@ -433,7 +531,7 @@
     }
     if (gone) {
         stored_entry_.reset();
-        own_revision_ = 0;
+        own_revision_ = {};
         write_own_entry();
         return;
     }
@@ -448,12 +546,13 @@
                        }
                        writing_ = false;
                        record_store_result(read.has_value(), "get");
-                       if (!read) {
+                       follow_era();
+                       if (!read || is_outdated(read.value().revision, "get")) {
                            finish_write(false);
                            retry_write();
                            return;
                        }
-                       own_revision_ = 0;
+                       own_revision_ = {};
                        apply_target(read.value());
                        write_own_entry();
                    });
@@ -481,15 +580,16 @@
 }
 
 void store_sync::remove_own_entry(std::function<void()> done) {
-    if (own_revision_ == 0) {
+    removed_ = true;
+    if (!is_known(own_revision_)) {
         done();
         return;
     }
-    removed_ = true;
     store_.remove(state_.port.target_kind, state_.settings.node, own_revision_,
                   [this, alive = alive_, done = std::move(done)](const result<stored_object>& removed) {
                       if (*alive) {
                           record_store_result(removed.has_value(), "remove");
+                          follow_era();
                       }
                       done();
                   });
--- a/src/libmesh/storesync.h
+++ b/src/libmesh/storesync.h
@@ -37,6 +37,8 @@
     void reconsider_config_watch();
     /// Returns whether the store answered the last call.
     bool is_connected() const;
+    /// Returns the era of the store that the revisions in use belong to; see store_revision.
+    std::uint64_t era() const;
 
 private:
     struct collection;
@@ -46,7 +48,14 @@
     void watch(collection& it, boot_duration wait, freshness wanted);
     void retry(collection& it, bool reload);
     freshness choose_freshness(const collection& it);
-    void on_targets_loaded(const std::set<std::string>& names, std::uint64_t revision);
+    /// Adopts the latest era that the store has told. Drops all revisions of earlier ones and lists both
+    /// kinds again. Called first in the callback of each store call.
+    void follow_era();
+    /// Returns whether a response was sent in an earlier era, so that its data are void. Logs this.
+    bool is_outdated(const store_revision& it, std::string_view call);
+    /// Removes the entries of other nodes that were not written again in the current era.
+    void remove_unwritten_entries();
+    void on_targets_loaded(const std::set<std::string>& names, const store_revision& revision);
     /// Returns whether the configuration in force changed.
     bool apply_config(const stored_object& it);
     void apply_target(const stored_object& it);
@@ -64,7 +73,9 @@
     std::unique_ptr<collection> targets_;
     bool connected_ = false;
     bool connection_state_logged_ = false;
-    std::uint64_t own_revision_ = 0;
+    std::uint64_t era_ = 0;
+    boot_time_point era_began_{}; ///< when this node learned of the era; unset for the first one
+    store_revision own_revision_;
     std::optional<target_entry> stored_entry_;
     std::vector<std::function<void(bool)>> publish_callbacks_;
     bool writing_ = false;
--- a/src/libmesh/targettable.cpp
+++ b/src/libmesh/targettable.cpp
@@ -49,8 +49,9 @@
         return true;
     }
     auto& known = found->second;
-    const bool older = it.revision != 0 && known.entry.revision != 0 ? it.revision < known.entry.revision
-                                                                     : it.started_ms < known.entry.started_ms;
+    const bool comparable = is_known(it.revision) && is_known(known.entry.revision);
+    const bool older =
+        comparable ? it.revision < known.entry.revision : it.started_ms < known.entry.started_ms;
     if (older || known.entry == it) {
         return false;
     }
--- a/src/libmesh/targettable.h
+++ b/src/libmesh/targettable.h
@@ -3,6 +3,7 @@
 #include "bootclock.h"
 #include "httpmessage.h"
 #include "nodepresence.h"
+#include "storerevision.h"
 
 #include <cstdint>
 #include <map>
@@ -32,7 +33,7 @@
     bool accepting = false;       ///< its node sends new calls to it
     bool leaving = false;         ///< this incarnation of the target receives no new calls
     std::uint64_t started_ms = 0; ///< Unix time of the target's start
-    std::uint64_t revision = 0;   ///< of the stored object; 0 if unknown
+    store_revision revision;      ///< of the stored object
 
     friend bool operator==(const target_entry&, const target_entry&) = default;
 };
--- a/tests/adapter/test_metadatastore.cpp
+++ b/tests/adapter/test_metadatastore.cpp
@@ -84,7 +84,7 @@
     }
     std::optional<result<object_list>> watch(std::uint64_t after) {
         std::optional<result<object_list>> changes;
-        client->watch("targets", after, milliseconds{20}, freshness::current,
+        client->watch("targets", {0, after}, milliseconds{20}, freshness::current,
                       [&](result<object_list> it) { changes = std::move(it); });
         run_for(milliseconds{200});
         return changes;
@@ -113,7 +113,7 @@
 // Guards against one odd entry of another program that ends each node which reads the list, or hides the
 // sound entries.
 TEST_CASE("odd contents among the entries name no target and hide no sound entry", "[odd]") {
-    CHECK(decode_entry({"sound", 1, sound_entry(), false}));
+    CHECK(decode_entry({"sound", {1, 1}, sound_entry(), false}));
     for (const auto& content : odd_contents()) {
         INFO(content.substr(0, 200));
         store_fixture it;
@@ -153,7 +153,7 @@
             CHECK(count_sound(found->value()) == 1);
             CHECK(found->value().objects.size() == 1);
             CHECK(found->value().unreadable == 1);
-            CHECK(found->value().revision == 9);
+            CHECK(found->value().revision.number == 9);
         }
     }
 }
@@ -177,6 +177,35 @@
     }
 }
 
+// Guards against revisions that are used beyond the era of the store in which they were given out.
+TEST_CASE("the client ties revisions to the era of the response") {
+    store_fixture it;
+    const std::string page = R"({"items":[],"events":[],"has_more":false,"store_revision":7})";
+    const std::string first_page = R"({"items":[)" + object_text(R"({"name":"a","revision":1})") +
+                                   R"(],"has_more":true,"store_revision":7})";
+    std::vector<std::pair<std::string, std::string>> responses;
+    std::size_t sent = 0;
+    raw_peer peer{it.loop, store_address, [&](const auto& conn, const std::string&) {
+                      const auto& [head, body] = responses.at(sent++);
+                      conn->send("HTTP/1.1 " + head + "\r\nContent-Length: " + std::to_string(body.size()) +
+                                 "\r\n\r\n" + body);
+                  }};
+    responses = {{"200 OK", page},
+                 {"200 OK\r\nStore-Era: 3", page},
+                 {"410 Gone\r\nStore-Era: 4", "{}"},
+                 {"200 OK\r\nStore-Era: x", page},
+                 {"200 OK\r\nStore-Era: 4", first_page},
+                 {"200 OK\r\nStore-Era: 5", page}};
+    CHECK(it.list()->value().revision == store_revision{0, 7});
+    CHECK(it.list()->value().revision == store_revision{3, 7});
+    CHECK(it.watch(7)->error().kind == error_kind::not_found);
+    CHECK(it.client->era() == 4);
+    CHECK(it.watch(7)->error().kind == error_kind::malformed);
+    CHECK(it.list()->has_error()); // Its pages belong to two eras.
+    CHECK(sent == 6);
+    CHECK(it.client->era() == 5);
+}
+
 // Guards against names of another program that break the request for the next page.
 TEST_CASE("the name of the last object is encoded in the request for the next page", "[odd]") {
     store_fixture it;
--- a/tests/mesh/meshrig.cpp
+++ b/tests/mesh/meshrig.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <utility>
 
 using namespace baobabswitch;
 
@@ -27,7 +28,10 @@
     void list(std::string_view kind, freshness /*wanted*/, list_callback fn) override {
         respond([this, kind = std::string{kind}, fn = std::move(fn)] { fn(read_list(kind)); });
     }
-    void watch(std::string_view kind, std::uint64_t after, boot_duration wait, freshness wanted,
+    std::uint64_t era() const override {
+        return era_;
+    }
+    void watch(std::string_view kind, store_revision after, boot_duration wait, freshness wanted,
                list_callback fn) override {
         const std::lock_guard lock{store_.mutex};
         if (store_.silent) {
@@ -39,11 +43,24 @@
             return;
         }
         const auto done = std::make_shared<bool>(false);
-        store_.watches.push_back({&loop_, std::string{kind}, after, wanted, fn, done});
-        loop_.schedule(wait, [after, fn, done] {
+        if (after.number > store_.revision) {
+            respond([this, fn = std::move(fn)] {
+                note_era();
+                fn(error{error_kind::not_found, "no such history", ""});
+            });
+            return;
+        }
+        const auto told = [this, fn = std::move(fn)](result<object_list> it) {
+            if (it) {
+                note_era();
+            }
+            fn(std::move(it));
+        };
+        store_.watches.push_back({&loop_, std::string{kind}, after.number, wanted, told, done});
+        loop_.schedule(wait, [after, told, done, era = store_.era] {
             if (!*done) {
                 *done = true;
-                fn(object_list{{}, after});
+                told(object_list{{}, {era, after.number}});
             }
         });
         store_.notify_watches(std::string{kind});
@@ -55,12 +72,12 @@
     }
     void create(std::string_view kind, std::string_view name, std::string content,
                 object_callback fn) override {
-        write(std::string{kind}, {std::string{name}, 0, std::move(content), false}, std::move(fn));
+        write(std::string{kind}, {std::string{name}, {}, std::move(content), false}, std::move(fn));
     }
     void replace(std::string_view kind, const stored_object& it, object_callback fn) override {
         write(std::string{kind}, it, std::move(fn));
     }
-    void remove(std::string_view kind, std::string_view name, std::uint64_t revision,
+    void remove(std::string_view kind, std::string_view name, store_revision revision,
                 object_callback fn) override {
         write(std::string{kind}, {std::string{name}, revision, {}, true}, std::move(fn));
     }
@@ -69,13 +86,19 @@
     void respond(std::function<void()> fn) {
         loop_.schedule(milliseconds{4}, std::move(fn));
     }
+    /// Takes over the era of the store, as a response tells it.
+    void note_era() {
+        const std::lock_guard lock{store_.mutex};
+        era_ = store_.unavailable ? era_ : store_.era;
+    }
     result<object_list> read_list(const std::string& kind) {
+        note_era();
         const std::lock_guard lock{store_.mutex};
         if (store_.unavailable) {
             return unavailable_error();
         }
         object_list it;
-        it.revision = store_.revision;
+        it.revision = {store_.era, store_.revision};
         for (const auto& [name, object] : store_.kinds[kind]) {
             if (!object.deleted) {
                 it.objects.push_back(object);
@@ -84,6 +107,7 @@
         return it;
     }
     result<stored_object> read_object(const std::string& kind, const std::string& name) {
+        note_era();
         const std::lock_guard lock{store_.mutex};
         const auto& objects = store_.kinds[kind];
         const auto found = objects.find(name);
@@ -96,17 +120,19 @@
         return found->second;
     }
     result<stored_object> write_object(const std::string& kind, const stored_object& it) {
+        note_era();
         const std::lock_guard lock{store_.mutex};
         if (store_.unavailable) {
             return unavailable_error();
         }
         auto& known = store_.kinds[kind][it.name];
-        const bool exists = known.revision != 0 && !known.deleted;
-        if ((it.revision == 0 && exists) || (it.revision != 0 && known.revision != it.revision)) {
+        const bool exists = is_known(known.revision) && !known.deleted;
+        const bool matches = known.revision.number == it.revision.number;
+        if (is_known(it.revision) ? !matches : exists) {
             return error{error_kind::conflict, "different revision", ""};
         }
         known = it;
-        known.revision = ++store_.revision;
+        known.revision = {store_.era, ++store_.revision};
         store_.notify_watches(kind);
         return known;
     }
@@ -118,6 +144,7 @@
 
     event_loop& loop_;
     memory_object_store& store_;
+    std::uint64_t era_ = 0;
 };
 
 } // namespace
@@ -128,10 +155,30 @@
 
 void memory_object_store::put(const std::string& kind, const std::string& name, std::string content) {
     const std::lock_guard lock{mutex};
-    kinds[kind][name] = {name, ++revision, std::move(content), false};
+    kinds[kind][name] = {name, {era, ++revision}, std::move(content), false};
     notify_watches(kind);
 }
 
+void memory_object_store::restore(std::map<std::string, std::map<std::string, stored_object>> objects,
+                                  std::uint64_t copy_revision) {
+    const std::lock_guard lock{mutex};
+    ++era;
+    revision = copy_revision;
+    kinds = std::move(objects);
+    for (auto& [kind, all] : kinds) {
+        for (auto& [name, it] : all) {
+            it.revision.era = era;
+        }
+    }
+    for (auto& it : std::exchange(watches, {})) {
+        it.loop->post([it] {
+            if (!std::exchange(*it.done, true)) {
+                it.fn(unavailable_error());
+            }
+        });
+    }
+}
+
 void memory_object_store::set_unavailable(bool value) {
     const std::lock_guard lock{mutex};
     unavailable = value;
@@ -157,9 +204,9 @@
     watches.clear();
     for (auto& it : pending) {
         object_list changes;
-        changes.revision = revision;
+        changes.revision = {era, revision};
         for (const auto& [name, object] : kinds[kind]) {
-            if (it.kind == kind && object.revision > it.after) {
+            if (it.kind == kind && object.revision.number > it.after) {
                 changes.objects.push_back(object);
             }
         }
--- a/tests/mesh/meshrig.h
+++ b/tests/mesh/meshrig.h
@@ -17,6 +17,7 @@
     std::mutex mutex;
     std::map<std::string, std::map<std::string, baobabswitch::stored_object>> kinds;
     std::uint64_t revision = 1;
+    std::uint64_t era = 1;
     bool unavailable = false;
     bool silent = false; ///< watches get no response and fail when they time out
     /// Watches that may be stale report no changes, as if their data were old.
@@ -30,6 +31,10 @@
     void set_unavailable(bool value);
     void set_silent(bool value);
     void set_stale_watches_lag(bool value);
+    /// Lets the store come back from a copy that holds `objects` as of a revision, in a new era. All watches
+    /// are cut off.
+    void restore(std::map<std::string, std::map<std::string, baobabswitch::stored_object>> objects,
+                 std::uint64_t copy_revision);
     /// Returns the JSON content of an object.
     std::string content(const std::string& kind, const std::string& name);
 
--- a/tests/mesh/test_spread.cpp
+++ b/tests/mesh/test_spread.cpp
@@ -21,20 +21,20 @@
     it.slots = 10;
     it.accepting = true;
     it.started_ms = 100;
-    it.revision = 1;
+    it.revision = {1, 1};
     std::vector<target_entry> entries{it};
     it.leaving = true;
     it.accepting = false;
-    it.revision = 2;
+    it.revision = {1, 2};
     entries.push_back(it);
     it = entries.front();
     it.instance = "i-2";
     it.started_ms = 200;
-    it.revision = 4;
+    it.revision = {1, 4};
     entries.push_back(it);
     it.leaving = true;
     it.accepting = false;
-    it.revision = 5;
+    it.revision = {1, 5};
     entries.push_back(it);
     return entries;
 }
--- a/tests/mesh/test_targetdirectory.cpp
+++ b/tests/mesh/test_targetdirectory.cpp
@@ -154,13 +154,17 @@
 TEST_CASE("an older entry never replaces a newer one") {
     target_table table;
     auto newer = make_entry("near", "east", 200);
-    newer.revision = 7;
+    newer.revision = {1, 7};
     newer.accepting = false;
     CHECK(update_target(table, newer));
     auto older = make_entry("near", "east", 100);
-    older.revision = 5;
+    older.revision = {1, 5};
     CHECK_FALSE(update_target(table, older));
-    older.revision = 0; // from a peer that has no revision
+    older.revision = {}; // from a peer that has no revision
+    CHECK_FALSE(update_target(table, older));
+    older.revision = {1, 9};
+    newer.revision = {2, 3}; // The store came back from a copy.
+    CHECK(update_target(table, newer));
     CHECK_FALSE(update_target(table, older));
     CHECK(table.by_node.at("near").entry.started_ms == 200);
 }
--- a/tests/soak/test_soak.cpp
+++ b/tests/soak/test_soak.cpp
@@ -47,13 +47,13 @@
 // writes.
 TEST_CASE("the store stand-in accepts conditional writes only for the current revision", "[standin]") {
     store_fixture it;
-    std::uint64_t revision = 0;
+    store_revision revision;
     it.client->create("targets", "a", R"({"n":1})", [&](const result<stored_object>& made) {
         REQUIRE(made);
         revision = made.value().revision;
     });
     it.run_for(milliseconds{100});
-    REQUIRE(revision > 0);
+    REQUIRE(is_known(revision));
     std::vector<error_kind> errors;
     const auto record_error = [&](const result<stored_object>& made) {
         REQUIRE_FALSE(made);
@@ -61,9 +61,10 @@
     };
     it.client->create("targets", "a", R"({"n":2})", record_error);
     it.run_for(milliseconds{50});
-    it.client->replace("targets", {"a", revision + 7, R"({"n":2})", false}, record_error);
+    it.client->replace("targets", {"a", {revision.era, revision.number + 7}, R"({"n":2})", false},
+                       record_error);
     it.run_for(milliseconds{50});
-    it.client->remove("targets", "b", 0, record_error);
+    it.client->remove("targets", "b", {}, record_error);
     it.run_for(milliseconds{50});
     CHECK(errors == std::vector{error_kind::conflict, error_kind::conflict, error_kind::not_found});
     std::string content;
@@ -78,7 +79,7 @@
           "[standin]") {
     store_fixture it;
     it.store->put("config", "main", R"({"n":1})");
-    std::uint64_t revision = 0;
+    store_revision revision;
     it.client->list("config", freshness::current,
                     [&](const result<object_list>& all) { revision = all.value().revision; });
     it.run_for(milliseconds{100});
