Rely on watching nodes for no longer than a version may take

Cause: a node leaves the undelayed watch to three others for 3 s after it last heard from them that they watch, and looked once a second whether that still holds, whatever the time within which a version has to be in force. The killed nodes were those three, and nobody called their targets, so no failed connection told of the loss.

Change: the time is read from the settings (config_apply_s). A claim to watch is relied on for half of it, at most 3 s, and nodes look five times a second. With 2 s, the own watch starts 1.2 s after the last message at the latest, however the other node was lost.

--- a/src/libmesh/configspread.cpp
+++ b/src/libmesh/configspread.cpp
@@ -121,14 +121,15 @@
 
 } // namespace
 
-bool is_config_watcher(const target_table& targets, std::string_view domain, std::string_view node,
-                       boot_time_point now) {
+bool is_config_watcher(const target_table& targets, const mesh_settings& node, boot_time_point now) {
+    const auto lifetime = claim_lifetime(node.config_apply_time);
     unsigned watchers = 0;
     for (const auto& [name, view] : targets.by_node) {
-        if (name >= node || watchers == watchers_per_domain) {
+        if (name >= node.node || watchers == watchers_per_domain) {
             break;
         }
-        watchers += view.entry.domain == domain && claims_config_watch(view.presence, now) ? 1 : 0;
+        const bool in_domain = view.entry.domain == node.domain;
+        watchers += in_domain && claims_config_watch(view.presence, now, lifetime) ? 1 : 0;
     }
     return watchers < watchers_per_domain;
 }
--- a/src/libmesh/configspread.h
+++ b/src/libmesh/configspread.h
@@ -16,10 +16,9 @@
 /// Path of the exchange of configurations between nodes, on the address for calls between nodes.
 inline constexpr std::string_view peer_config_path = "/baobab/v1/config";
 
-/// Returns whether a node of a failure domain has to watch the configuration without delay: fewer than three
-/// nodes of the domain whose names precede its own recently said that they do.
-bool is_config_watcher(const target_table& targets, std::string_view domain, std::string_view node,
-                       boot_time_point now);
+/// Returns whether a node has to watch the configuration without delay: fewer than three nodes of its failure
+/// domain whose names precede its own said within claim_lifetime() that they do.
+bool is_config_watcher(const target_table& targets, const mesh_settings& node, boot_time_point now);
 
 /// Sends the current configuration to the nodes of the own failure domain that may rely on this one. Large
 /// ones are only announced.
--- a/src/libmesh/meshnode.cpp
+++ b/src/libmesh/meshnode.cpp
@@ -18,6 +18,8 @@
 
 constexpr milliseconds tick_interval{50};
 constexpr unsigned ticks_per_second = 20;
+/// Ticks between two looks at the nodes that this one relies on to watch the configuration.
+constexpr unsigned ticks_per_watch_check = 4;
 /// Maximum wait for the store before the announcement of a leaving target is answered. Targets expect a
 /// response within 1 s.
 constexpr milliseconds max_acknowledgement_delay{500};
@@ -297,8 +299,10 @@
     tick_verification(state_, [this] { store_sync_.publish_own_entry([](bool) {}); });
     apply_limits();
     state_.budget.nodes = static_cast<double>(std::max<std::size_t>(1, present_nodes(state_.targets, now)));
-    if (++ticks_ % ticks_per_second == 0) {
+    if (++ticks_ % ticks_per_watch_check == 0) {
         store_sync_.reconsider_config_watch();
+    }
+    if (ticks_ % ticks_per_second == 0) {
         state_.log.report_suppressed();
         update_gauges();
         log_admission_level();
@@ -325,9 +329,11 @@
     state_.settings.retries = changed.retries;
     state_.budget.bounds = changed.retries;
     state_.settings.stop_time = changed.stop_time;
+    state_.settings.config_apply_time = changed.config_apply_time;
     state_.log.write_always("settings-reloaded", {{"retry_ratio", changed.retries.ratio},
                                                   {"retry_slack", changed.retries.slack},
-                                                  {"stop_time_ms", to_ms(changed.stop_time)}});
+                                                  {"stop_time_ms", to_ms(changed.stop_time)},
+                                                  {"config_apply_ms", to_ms(changed.config_apply_time)}});
 }
 
 void mesh_node::stop() {
--- a/src/libmesh/nodepresence.cpp
+++ b/src/libmesh/nodepresence.cpp
@@ -9,9 +9,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Age at which a claim to watch the configuration is no longer relied on. Calls renew it. Versions that are
-/// stored between the loss of all watchers of a domain and this time arrive late.
-constexpr seconds claim_lifetime{3};
+/// Longest time for which a claim to watch the configuration is relied on.
+constexpr seconds max_claim_lifetime{3};
+/// Part of the time within which a configuration has to be in force: 1 / claim_divisor.
+constexpr int claim_divisor = 2;
 /// Age up to which a node counts as heard. Longer than a claim, so that a node which relies on this one is
 /// not left out.
 constexpr seconds heard_lifetime{6};
@@ -56,8 +57,12 @@
     return is_recent(it.heard_at, now, heard_lifetime);
 }
 
-bool claims_config_watch(const node_presence& it, boot_time_point now) {
-    return is_recent(it.watching_at, now, claim_lifetime);
+boot_duration claim_lifetime(boot_duration config_apply_time) {
+    return std::min<boot_duration>(config_apply_time / claim_divisor, max_claim_lifetime);
+}
+
+bool claims_config_watch(const node_presence& it, boot_time_point now, boot_duration lifetime) {
+    return is_recent(it.watching_at, now, lifetime);
 }
 
 bool is_check_due(const node_presence& it, boot_time_point now) {
--- a/src/libmesh/nodepresence.h
+++ b/src/libmesh/nodepresence.h
@@ -26,8 +26,12 @@
 bool is_gone(const node_presence& it, boot_time_point now);
 /// Returns whether a message arrived recently.
 bool was_heard_recently(const node_presence& it, boot_time_point now);
-/// Returns whether the node recently said that it watches the configuration without delay.
-bool claims_config_watch(const node_presence& it, boot_time_point now);
+/// Returns for how long a node may rely on others to watch the configuration without hearing it from them
+/// again. What remains of the time within which a configuration has to be in force is left for noticing that
+/// the others are lost and reading it.
+boot_duration claim_lifetime(boot_duration config_apply_time);
+/// Returns whether the node said within `lifetime` that it watches the configuration without delay.
+bool claims_config_watch(const node_presence& it, boot_time_point now, boot_duration lifetime);
 /// Returns whether a lost node is due for another attempt to reach it. The intervals grow with the time for
 /// which it has been lost.
 bool is_check_due(const node_presence& it, boot_time_point now);
--- a/src/libmesh/platformport.h
+++ b/src/libmesh/platformport.h
@@ -59,6 +59,8 @@
     retry_bounds retries;
     std::size_t memory_bytes = 0; ///< memory of the VM available to this node; 0 if unknown
     boot_duration stop_time = std::chrono::seconds{6}; ///< from SIGTERM to SIGKILL
+    /// Time within which a stored configuration has to be in force.
+    boot_duration config_apply_time = std::chrono::seconds{2};
 };
 
 /// Platform-specific names, formats and decoders. Contains no policy.
--- a/src/libmesh/storesync.cpp
+++ b/src/libmesh/storesync.cpp
@@ -281,19 +281,19 @@
     }
     const auto now = boot_clock::now();
     const auto& targets = state_.targets;
-    const bool undelayed = is_config_watcher(targets, state_.settings.domain, state_.settings.node, now);
+    const bool undelayed = is_config_watcher(targets, state_.settings, now);
+    const auto lifetime = claim_lifetime(state_.settings.config_apply_time);
     const auto watchers =
         std::count_if(targets.by_node.begin(), targets.by_node.end(), [&](const auto& node) {
             return node.second.entry.domain == state_.settings.domain &&
-                   claims_config_watch(node.second.presence, now);
+                   claims_config_watch(node.second.presence, now, lifetime);
         });
     state_.log.write("config-watch", {{"undelayed", undelayed}, {"other_watchers", watchers}});
     return undelayed ? freshness::current : freshness::stale;
 }
 
 void store_sync::reconsider_config_watch() {
-    if (config_->relies_on_others &&
-        is_config_watcher(state_.targets, state_.settings.domain, state_.settings.node, boot_clock::now())) {
+    if (config_->relies_on_others && is_config_watcher(state_.targets, state_.settings, boot_clock::now())) {
         watch(*config_, max_watch_duration, choose_freshness(*config_));
     }
 }
--- a/src/libmesh/storesync.h
+++ b/src/libmesh/storesync.h
@@ -33,7 +33,7 @@
     /// or not this succeeds.
     void remove_own_entry(std::function<void()> done);
     /// Starts an undelayed watch of the configuration if the nodes that this one relies on are no longer
-    /// heard from. Called once a second.
+    /// heard from. Called several times a second.
     void reconsider_config_watch();
     /// Returns whether the store answered the last call.
     bool is_connected() const;
--- a/tests/adapter/test_decoding.cpp
+++ b/tests/adapter/test_decoding.cpp
@@ -17,7 +17,7 @@
         "network":{"listen":{"inbound":"127.0.0.1:8300","outbound":"127.0.0.1:8304","ready":"127.0.0.1:8302",
         "control":"127.0.0.1:8306"},"port_range":[7620,7635]},
         "platform":{"platform":{"address":"127.0.0.1:8309"}},
-        "terms":{"bounds":{"drain_s":2,"grace_s":6,"retry_budget_ratio":0.2,"budget_slack":49,"budget_window_s":10}}})");
+        "terms":{"bounds":{"drain_s":2,"grace_s":6,"config_apply_s":2.5,"retry_budget_ratio":0.2,"budget_slack":49,"budget_window_s":10}}})");
 }
 
 json configuration_document() {
@@ -57,6 +57,7 @@
     CHECK(it.value().retries.slack == 49);
     CHECK(it.value().memory_bytes == 260'000'000);
     CHECK(it.value().stop_time == std::chrono::seconds{6});
+    CHECK(it.value().config_apply_time == std::chrono::milliseconds{2500});
 }
 
 // Guards against starting with settings that have missing fields or wrong types.
@@ -67,12 +68,15 @@
     bad_port["network"]["listen"]["ready"] = "127.0.0.1:99999";
     auto bad_type = settings_document();
     bad_type["terms"]["bounds"]["grace_s"] = "six";
+    auto bad_bound = settings_document();
+    bad_bound["terms"]["bounds"]["config_apply_s"] = -1;
     auto bad_range = settings_document();
     bad_range["network"]["port_range"] = {70000, 70001};
     auto no_range = settings_document();
     no_range["network"]["port_range"] = json::array();
-    for (const auto& text : {std::string{}, std::string{"{"}, no_target.dump(), bad_port.dump(),
-                             bad_type.dump(), bad_range.dump(), no_range.dump(), std::string(100'000, '[')}) {
+    for (const auto& text :
+         {std::string{}, std::string{"{"}, no_target.dump(), bad_port.dump(), bad_type.dump(),
+          bad_bound.dump(), bad_range.dump(), no_range.dump(), std::string(100'000, '[')}) {
         const auto it = platform::decode_settings(text);
         REQUIRE_FALSE(it);
         CHECK(it.error().kind == error_kind::bad_settings);
--- a/tests/mesh/test_configspread.cpp
+++ b/tests/mesh/test_configspread.cpp
@@ -18,6 +18,13 @@
     return "node-" + std::to_string(1000 + n);
 }
 
+mesh_settings node_settings(std::size_t n) {
+    mesh_settings it;
+    it.node = node_name(n);
+    it.domain = "east";
+    return it;
+}
+
 /// Lets each living node decide once more, in turn, by what the others said at `now`.
 void decide_all(watching_nodes& nodes, std::size_t first_living, boot_time_point now) {
     for (std::size_t own = first_living; own < nodes.size(); ++own) {
@@ -28,7 +35,7 @@
             const auto heard_at = n < first_living ? now - std::chrono::seconds{4} : now;
             record_heard(view.presence, nodes[n], heard_at);
         }
-        nodes[own] = is_config_watcher(table, "east", node_name(own), now);
+        nodes[own] = is_config_watcher(table, node_settings(own), now);
     }
 }
 
@@ -59,7 +66,7 @@
     for (std::size_t n = 0; n < 50; ++n) {
         table.by_node[node_name(n)].entry.domain = "east";
     }
-    CHECK(is_config_watcher(table, "east", node_name(49), boot_clock::now()));
+    CHECK(is_config_watcher(table, node_settings(49), boot_clock::now()));
 }
 
 // Guards against a domain in which no node watches the configuration without delay, because the entries of
@@ -224,3 +231,41 @@
         CHECK(rig.config_version_of(0) == 5);
     }
 }
+
+// Guards against nodes that rely on others to watch the configuration for longer than a version may take to
+// be in force, after those were lost together and nobody calls them
+// (docs/incidents/killed-watchers-delay-configuration.md).
+TEST_CASE("a version that is written as the nodes with an undelayed watch are lost is in force in time") {
+    mesh_rig rig{57};
+    rig.publish(1);
+    for (unsigned n = 0; n < 7; ++n) {
+        rig.add_vm(n < 3 ? "front" : "back", "east", 10);
+        rig.announce(n, 1);
+    }
+    unsigned sent = 0;
+    const auto call_for = [&](int rounds, std::size_t first) {
+        for (int round = 0; round < rounds; ++round) {
+            for (std::size_t n = first; n < 7; ++n) {
+                for (int burst = 0; burst < 6; ++burst) {
+                    rig.send(n, "GET", "/back/x", "r" + std::to_string(++sent));
+                }
+            }
+            rig.run_for(milliseconds{100});
+        }
+    };
+    call_for(10, 0);
+    rig.publish(2); // Ends the first watches, so that each node chooses by what it has heard.
+    call_for(20, 0);
+    rig.store.set_stale_watches_lag(true);
+    for (std::size_t n = 0; n < 3; ++n) {
+        rig.kill_node(n);
+    }
+    rig.publish(3);
+    const auto written = boot_clock::now();
+    while (boot_clock::now() - written < rig.settings[3].config_apply_time) {
+        call_for(1, 3);
+    }
+    for (std::size_t n = 3; n < 7; ++n) {
+        CHECK(rig.config_version_of(n) == 3);
+    }
+}
