Hold nothing over when the store changes its era again

Two uses were left out of the change of era. A second return of the store within the list after the first one was passed over, so entries that nobody wrote again could be removed too early, or stay. And a node that relied on others to watch the configuration could start its own watch while the list was under way, with no revision to start from, and thereby drop the list.

Change: only the first response of the store is no change of era, and a pause before a retry ends the reliance on others. Responses that can't be read, also for an era that is no number, get a log line and a counter.

--- a/src/libmesh/storesync.cpp
+++ b/src/libmesh/storesync.cpp
@@ -138,8 +138,10 @@
         return;
     }
     const auto previous = std::exchange(era_, latest);
-    if (!is_known(config_->revision) && !is_known(targets_->revision) && !is_known(own_revision_)) {
-        return;
+    const bool holds_revisions =
+        is_known(config_->revision) || is_known(targets_->revision) || is_known(own_revision_);
+    if (previous == 0 && !holds_revisions) {
+        return; // The first response of the store.
     }
     era_began_ = boot_clock::now();
     state_.metrics.count_event("store_era_changed");
@@ -174,6 +176,13 @@
     return true;
 }
 
+void store_sync::log_unreadable(const error& cause, std::string_view call) {
+    if (cause.kind == error_kind::malformed) {
+        state_.metrics.count_event("malformed_store_response");
+        state_.log.write("store-response-rejected", {{"call", call}, {"error", describe(cause)}});
+    }
+}
+
 void store_sync::remove_unwritten_entries() {
     if (targets_->revision.era != era_) {
         return; // on_targets_loaded() removes them once there is a list.
@@ -245,6 +254,7 @@
             return;
         }
         if (!listed) {
+            log_unreadable(listed.error(), "list");
             retry(it, true);
             return;
         }
@@ -327,6 +337,7 @@
                      record_store_result(changes.has_value() || reload,
                                          wait == probe_watch_duration ? "probe" : "watch");
                      if (!changes) {
+                         log_unreadable(changes.error(), "watch");
                          retry(it, reload);
                          return;
                      }
@@ -357,6 +368,7 @@
 }
 
 void store_sync::retry(collection& it, bool reload) {
+    it.relies_on_others = false;
     if (&it == config_.get()) {
         state_.watches_config = false;
     }
--- a/src/libmesh/storesync.h
+++ b/src/libmesh/storesync.h
@@ -53,6 +53,8 @@
     void follow_era();
     /// Returns whether a response was sent in an earlier era, so that its data are void. Logs this.
     bool is_outdated(const store_revision& it, std::string_view call);
+    /// Logs a response that can't be read; other errors are logged as a lost store.
+    void log_unreadable(const error& cause, std::string_view call);
     /// Removes the entries of other nodes that were not written again in the current era.
     void remove_unwritten_entries();
     void on_targets_loaded(const std::set<std::string>& names, const store_revision& revision);
--- a/tests/mesh/test_storeeras.cpp
+++ b/tests/mesh/test_storeeras.cpp
@@ -69,6 +69,43 @@
     void remove(std::string_view, std::string_view, store_revision, object_callback) override {}
 };
 
+/// A node's view of the store with a manual client. The first lists are answered, in era 1 and at revision
+/// 50; the targets' list holds `targets`.
+struct sync_fixture {
+    event_loop loop;
+    mesh_settings settings = make_settings();
+    mesh_state state{loop, settings, platform::make_port()};
+    manual_client client;
+    store_sync sync{state, client};
+
+    explicit sync_fixture(const std::vector<stored_object>& targets = {}) {
+        sync.start();
+        client.told_era = 1;
+        const auto targets_list = client.lists.at("targets");
+        targets_list(object_list{targets, {1, 50}});
+        client.lists.at("config")(object_list{{}, {1, 50}});
+        client.lists.clear();
+    }
+    static mesh_settings make_settings() {
+        mesh_settings it;
+        it.node = "n9";
+        it.domain = "east";
+        return it;
+    }
+    void run_for(milliseconds time) {
+        loop.schedule(time, [this] { loop.stop(); });
+        loop.run();
+    }
+};
+
+stored_object make_object(const std::string& node, const store_revision& revision) {
+    target_entry it;
+    it.node = node;
+    it.peer = {"127.0.0.1", 8300};
+    it.domain = "east";
+    return {node, revision, encode_entry(it), false};
+}
+
 } // namespace
 
 // Guards against a watch that goes on from a revision which the store gave out again for another change, and
@@ -176,42 +213,61 @@
 // Guards against data of a lost history that a slow or stale response brings back, and against a write that
 // counts as stored though the store has lost it.
 TEST_CASE("a response of an earlier era of the store changes nothing") {
-    event_loop loop;
-    mesh_settings settings;
-    settings.node = "n0";
-    mesh_state state{loop, settings, platform::make_port()};
-    manual_client client;
-    store_sync sync{state, client};
-    sync.start();
-    const auto run = [&](milliseconds time) {
-        loop.schedule(time, [&] { loop.stop(); });
-        loop.run();
-    };
-    const auto targets_list = client.lists.at("targets");
-    client.told_era = 1;
-    client.lists.at("config")(object_list{{}, {1, 50}});
-    targets_list(object_list{{}, {1, 50}});
-    state.target.current.emplace();
-    state.target.current->instance = "i-1";
-    state.target.current->slots = 4;
+    sync_fixture it;
+    auto& client = it.client;
+    it.state.target.current.emplace();
+    it.state.target.current->instance = "i-1";
+    it.state.target.current->slots = 4;
     std::vector<bool> stored;
-    sync.publish_own_entry([&](bool it) { stored.push_back(it); });
+    it.sync.publish_own_entry([&](bool done) { stored.push_back(done); });
     REQUIRE(client.writes.size() == 1);
-    client.lists.clear();
     client.told_era = 2;
     client.watches.at("config")(object_list{{}, {2, 51}});
-    run(milliseconds{250});
+    it.run_for(milliseconds{250});
     REQUIRE(client.lists.size() == 2); // Both kinds are listed again.
-    target_entry late;
-    late.node = "n1";
-    const stored_object late_object{"n1", {1, 90}, encode_entry(late), false};
-    client.lists.at("targets")(object_list{{late_object}, {1, 90}});
-    CHECK(state.targets.by_node.count("n1") == 0);
-    client.writes.front()(stored_object{"n0", {1, 51}, encode_entry(own_entry(state)), false});
+    client.lists.at("targets")(object_list{{make_object("n1", {1, 90})}, {1, 90}});
+    CHECK(it.state.targets.by_node.count("n1") == 0);
+    client.writes.front()(stored_object{"n9", {1, 51}, encode_entry(own_entry(it.state)), false});
     CHECK(stored.empty());
     REQUIRE(client.writes.size() == 2); // The write is repeated in the new era.
     client.lists.at("config")(object_list{{}, {2, 40}});
     client.watches.at("config")(object_list{{}, {1, 91}});
-    run(milliseconds{250});
+    it.run_for(milliseconds{250});
     CHECK(client.freshness_of_watch.at("config") == freshness::current);
 }
+
+// Guards against entries of an earlier era that stay for good when the store comes back twice in a moment.
+TEST_CASE("entries that nobody writes again are removed after two drills in a row") {
+    sync_fixture it{{make_object("n1", {1, 7})}};
+    for (const std::uint64_t era : {2U, 3U}) {
+        it.client.told_era = era;
+        it.client.watches.at("config")(result<object_list>{error{error_kind::not_found, "", ""}});
+        it.run_for(milliseconds{1200});
+    }
+    it.client.lists.at("targets")(object_list{{}, {3, 4}});
+    CHECK(it.state.targets.by_node.count("n1") == 1);
+    it.run_for(milliseconds{1200});
+    CHECK(it.state.targets.by_node.count("n1") == 0);
+}
+
+// Guards against a watch that starts while the kind is listed again, without a revision to start from.
+TEST_CASE("a node that relied on others to watch lists the configuration before it watches in a new era") {
+    sync_fixture it{{make_object("n1", {1, 7}), make_object("n2", {1, 8}), make_object("n3", {1, 9})}};
+    auto& client = it.client;
+    for (auto& [name, view] : it.state.targets.by_node) {
+        record_heard(view.presence, true, boot_clock::now());
+    }
+    client.watches.at("config")(object_list{{}, {1, 50}}); // the probe
+    REQUIRE(client.freshness_of_watch.at("config") == freshness::stale);
+    const auto targets_watch = client.watches.at("targets");
+    client.watches.clear();
+    client.told_era = 2;
+    targets_watch(object_list{{}, {2, 51}});
+    for (auto& [name, view] : it.state.targets.by_node) {
+        record_unreachable(view.presence, boot_clock::now());
+    }
+    it.sync.reconsider_config_watch();
+    CHECK(client.watches.count("config") == 0);
+    it.run_for(milliseconds{250});
+    CHECK(client.lists.count("config") == 1);
+}
