--- a/src/libmesh/meshnode.h
+++ b/src/libmesh/meshnode.h
@@ -27,8 +27,8 @@
     mesh_node& operator=(mesh_node&&) = delete;
 
     mesh_state& state();
-    /// Applies the retry limits and the stop time of changed settings. Other changes take effect only after a
-    /// restart.
+    /// Applies the retry limits, the stop time and the time for a configuration to be in force of changed
+    /// settings. Other changes take effect only after a restart.
     void reload(const mesh_settings& changed);
     /// Refuses new calls after a delay in which callers and other nodes stop using this node. Stops the event
     /// loop once no calls are in flight or the stop time is nearly over.
