--- a/tests/mesh/test_storeeras.cpp
+++ b/tests/mesh/test_storeeras.cpp
@@ -24,7 +24,7 @@
 
 /// Makes the store unavailable for a moment and lets it come back from the copy. `before_return` runs before
 /// nodes can reach it.
-void run_drill(mesh_rig& rig, const store_copy& copy, const std::function<void()>& before_return) {
+void return_from_copy(mesh_rig& rig, const store_copy& copy, const std::function<void()>& before_return) {
     rig.store.set_unavailable(true);
     rig.run_for(milliseconds{400});
     rig.store.restore(copy.kinds, copy.revision);
@@ -134,7 +134,7 @@
         rig.publish(2);
         rig.run_for(milliseconds{1000});
         REQUIRE(rig.config_version_of(0) == 2);
-        run_drill(rig, copy, [&] {
+        return_from_copy(rig, copy, [&] {
             for (unsigned n = 0; n < it.other_writes; ++n) {
                 rig.store.put("other", "object", std::to_string(n));
             }
@@ -167,7 +167,7 @@
     const auto copy = copy_of(rig.store);
     rig.announce(0, 2, true);
     rig.run_for(milliseconds{300});
-    run_drill(rig, copy, [&] { rig.publish(2); });
+    return_from_copy(rig, copy, [&] { rig.publish(2); });
     rig.run_for(milliseconds{2000});
     rig.kill_node(0);
     rig.start_node(0, false);
@@ -197,7 +197,7 @@
     rig.add_lost_vm("other", "east", 7);
     rig.run_for(milliseconds{1500});
     REQUIRE(knows_target(rig, 0, "lost7"));
-    run_drill(rig, copy, [] {});
+    return_from_copy(rig, copy, [] {});
     std::vector<std::shared_ptr<caller_result>> calls;
     for (int n = 0; n < 60; ++n) {
         calls.push_back(rig.send(0, "GET", "/back/x", "b" + std::to_string(n)));
@@ -237,7 +237,7 @@
 }
 
 // Guards against entries of an earlier era that stay for good when the store comes back twice in a moment.
-TEST_CASE("entries that nobody writes again are removed after two drills in a row") {
+TEST_CASE("entries that nobody writes again are removed when the store comes back from a copy twice") {
     sync_fixture it{{make_object("n1", {1, 7})}};
     for (const std::uint64_t era : {2U, 3U}) {
         it.client.told_era = era;
