Name a revision and its era in the project's words

The type was called store_revision, which is the name of a field of the platform's store, and those stay in platform/. It is era_revision now, in erarevision.h. Apart from the name, the tokens of the product are the same.

--- a/src/libmesh/objectclient.h
+++ b/src/libmesh/objectclient.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "bootclock.h"
+#include "erarevision.h"
 #include "errors.h"
-#include "storerevision.h"
 
 #include <cstdint>
 #include <functional>
@@ -15,15 +15,15 @@
 /// An object of the platform's store, or a deletion event.
 struct stored_object {
     std::string name;
-    store_revision revision; ///< of its last change
-    std::string content;     ///< as stored; any program may have written it
+    era_revision revision; ///< of its last change
+    std::string content;   ///< as stored; any program may have written it
     bool deleted = false;
 };
 
 /// Objects of one kind at a revision of the store.
 struct object_list {
     std::vector<stored_object> objects;
-    store_revision revision;
+    era_revision revision;
     std::size_t unreadable = 0; ///< objects without readable metadata, which are left out
 };
 
@@ -54,13 +54,13 @@
     /// that revision makes up for it.
     virtual void list(std::string_view kind, freshness wanted, list_callback fn) = 0;
     /// Returns the changes after a revision as soon as there are any, or an empty list after `wait`.
-    virtual void watch(std::string_view kind, store_revision after, boot_duration wait, freshness wanted,
+    virtual void watch(std::string_view kind, era_revision after, boot_duration wait, freshness wanted,
                        list_callback fn) = 0;
     virtual void get(std::string_view kind, std::string_view name, object_callback fn) = 0;
     virtual void create(std::string_view kind, std::string_view name, std::string content,
                         object_callback fn) = 0;
     virtual void replace(std::string_view kind, const stored_object& it, object_callback fn) = 0;
-    virtual void remove(std::string_view kind, std::string_view name, store_revision revision,
+    virtual void remove(std::string_view kind, std::string_view name, era_revision revision,
                         object_callback fn) = 0;
 };
 
--- a/src/libmesh/storesync.cpp
+++ b/src/libmesh/storesync.cpp
@@ -83,7 +83,7 @@
     std::string kind;
     std::function<void(const stored_object&)> on_object;
     /// Called with the names of all objects and the revision after a complete list was read.
-    std::function<void(const std::set<std::string>&, const store_revision&)> on_loaded;
+    std::function<void(const std::set<std::string>&, const era_revision&)> on_loaded;
     bool watched_without_delay = false; ///< the objects come from a watch that must not be stale
     bool relies_on_others = false;      ///< a long watch that may be stale is waiting
     bool avoids_stale_reads = false;    ///< the last one was answered from an earlier era
@@ -91,10 +91,10 @@
     unsigned step = 0;
     freshness list_freshness = freshness::current; ///< of the next list
     milliseconds watch_delay = config_watch_delay;
-    store_revision revision;
+    era_revision revision;
     unsigned failures = 0;
     /// Revisions of the entries that were rejected last, by name; each is logged once.
-    std::map<std::string, store_revision, std::less<>> rejected;
+    std::map<std::string, era_revision, std::less<>> rejected;
 };
 
 store_sync::store_sync(mesh_state& state, object_client& store)
@@ -108,7 +108,7 @@
             push_config_to_domain(state_);
         }
     };
-    config_->on_loaded = [](const std::set<std::string>&, const store_revision&) {
+    config_->on_loaded = [](const std::set<std::string>&, const era_revision&) {
     };
     targets_->kind = state.port.target_kind;
     targets_->watch_delay = target_watch_delay;
@@ -119,7 +119,7 @@
             publish_own_entry([](bool) {});
         }
     };
-    targets_->on_loaded = [this](const std::set<std::string>& names, const store_revision& revision) {
+    targets_->on_loaded = [this](const std::set<std::string>& names, const era_revision& revision) {
         on_targets_loaded(names, revision);
     };
 }
@@ -166,7 +166,7 @@
     });
 }
 
-bool store_sync::is_outdated(const store_revision& it, std::string_view call) {
+bool store_sync::is_outdated(const era_revision& it, std::string_view call) {
     if (it.era >= era_) {
         return false;
     }
@@ -193,7 +193,7 @@
     });
 }
 
-void store_sync::on_targets_loaded(const std::set<std::string>& names, const store_revision& revision) {
+void store_sync::on_targets_loaded(const std::set<std::string>& names, const era_revision& revision) {
     const bool rewriting = boot_clock::now() - era_began_ < rewrite_time;
     std::vector<std::string> gone;
     for (const auto& [node, view] : state_.targets.by_node) {
--- a/src/libmesh/storesync.h
+++ b/src/libmesh/storesync.h
@@ -37,7 +37,7 @@
     void reconsider_config_watch();
     /// Returns whether the store answered the last call.
     bool is_connected() const;
-    /// Returns the era of the store that the revisions in use belong to; see store_revision.
+    /// Returns the era of the store that the revisions in use belong to; see era_revision.
     std::uint64_t era() const;
 
 private:
@@ -52,12 +52,12 @@
     /// kinds again. Called first in the callback of each store call.
     void follow_era();
     /// Returns whether a response was sent in an earlier era, so that its data are void. Logs this.
-    bool is_outdated(const store_revision& it, std::string_view call);
+    bool is_outdated(const era_revision& it, std::string_view call);
     /// Logs a response that can't be read; other errors are logged as a lost store.
     void log_unreadable(const error& cause, std::string_view call);
     /// Removes the entries of other nodes that were not written again in the current era.
     void remove_unwritten_entries();
-    void on_targets_loaded(const std::set<std::string>& names, const store_revision& revision);
+    void on_targets_loaded(const std::set<std::string>& names, const era_revision& revision);
     /// Returns whether the configuration in force changed.
     bool apply_config(const stored_object& it);
     void apply_target(const stored_object& it);
@@ -77,7 +77,7 @@
     bool connection_state_logged_ = false;
     std::uint64_t era_ = 0;
     boot_time_point era_began_{}; ///< when this node learned of the era; unset for the first one
-    store_revision own_revision_;
+    era_revision own_revision_;
     std::optional<target_entry> stored_entry_;
     std::vector<std::function<void(bool)>> publish_callbacks_;
     bool writing_ = false;
--- a/src/libmesh/targettable.h
+++ b/src/libmesh/targettable.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "bootclock.h"
+#include "erarevision.h"
 #include "httpmessage.h"
 #include "nodepresence.h"
-#include "storerevision.h"
 
 #include <cstdint>
 #include <map>
@@ -33,7 +33,7 @@
     bool accepting = false;       ///< its node sends new calls to it
     bool leaving = false;         ///< this incarnation of the target receives no new calls
     std::uint64_t started_ms = 0; ///< Unix time of the target's start
-    store_revision revision;      ///< of the stored object
+    era_revision revision;        ///< of the stored object
 
     friend bool operator==(const target_entry&, const target_entry&) = default;
 };
--- a/tests/adapter/test_metadatastore.cpp
+++ b/tests/adapter/test_metadatastore.cpp
@@ -153,7 +153,7 @@
             CHECK(count_sound(found->value()) == 1);
             CHECK(found->value().objects.size() == 1);
             CHECK(found->value().unreadable == 1);
-            CHECK(found->value().revision.number == 9);
+            CHECK(found->value().revision == era_revision{0, 9});
         }
     }
 }
@@ -196,8 +196,8 @@
                  {"200 OK\r\nStore-Era: x", page},
                  {"200 OK\r\nStore-Era: 4", first_page},
                  {"200 OK\r\nStore-Era: 5", page}};
-    CHECK(it.list()->value().revision == store_revision{0, 7});
-    CHECK(it.list()->value().revision == store_revision{3, 7});
+    CHECK(it.list()->value().revision == era_revision{0, 7});
+    CHECK(it.list()->value().revision == era_revision{3, 7});
     CHECK(it.watch(7)->error().kind == error_kind::not_found);
     CHECK(it.client->era() == 4);
     CHECK(it.watch(7)->error().kind == error_kind::malformed);
--- a/tests/mesh/meshrig.cpp
+++ b/tests/mesh/meshrig.cpp
@@ -31,7 +31,7 @@
     std::uint64_t era() const override {
         return era_;
     }
-    void watch(std::string_view kind, store_revision after, boot_duration wait, freshness wanted,
+    void watch(std::string_view kind, era_revision after, boot_duration wait, freshness wanted,
                list_callback fn) override {
         const std::lock_guard lock{store_.mutex};
         if (store_.silent) {
@@ -77,7 +77,7 @@
     void replace(std::string_view kind, const stored_object& it, object_callback fn) override {
         write(std::string{kind}, it, std::move(fn));
     }
-    void remove(std::string_view kind, std::string_view name, store_revision revision,
+    void remove(std::string_view kind, std::string_view name, era_revision revision,
                 object_callback fn) override {
         write(std::string{kind}, {std::string{name}, revision, {}, true}, std::move(fn));
     }
--- a/tests/mesh/test_storeeras.cpp
+++ b/tests/mesh/test_storeeras.cpp
@@ -54,7 +54,7 @@
     void list(std::string_view kind, freshness, list_callback fn) override {
         lists[std::string{kind}] = std::move(fn);
     }
-    void watch(std::string_view kind, store_revision, boot_duration, freshness wanted,
+    void watch(std::string_view kind, era_revision, boot_duration, freshness wanted,
                list_callback fn) override {
         watches[std::string{kind}] = std::move(fn);
         freshness_of_watch[std::string{kind}] = wanted;
@@ -66,7 +66,7 @@
     void replace(std::string_view, const stored_object&, object_callback fn) override {
         writes.push_back(std::move(fn));
     }
-    void remove(std::string_view, std::string_view, store_revision, object_callback) override {}
+    void remove(std::string_view, std::string_view, era_revision, object_callback) override {}
 };
 
 /// A node's view of the store with a manual client. The first lists are answered, in era 1 and at revision
@@ -98,7 +98,7 @@
     }
 };
 
-stored_object make_object(const std::string& node, const store_revision& revision) {
+stored_object make_object(const std::string& node, const era_revision& revision) {
     target_entry it;
     it.node = node;
     it.peer = {"127.0.0.1", 8300};
--- a/tests/soak/test_soak.cpp
+++ b/tests/soak/test_soak.cpp
@@ -47,7 +47,7 @@
 // writes.
 TEST_CASE("the store stand-in accepts conditional writes only for the current revision", "[standin]") {
     store_fixture it;
-    store_revision revision;
+    era_revision revision;
     it.client->create("targets", "a", R"({"n":1})", [&](const result<stored_object>& made) {
         REQUIRE(made);
         revision = made.value().revision;
@@ -79,7 +79,7 @@
           "[standin]") {
     store_fixture it;
     it.store->put("config", "main", R"({"n":1})");
-    store_revision revision;
+    era_revision revision;
     it.client->list("config", freshness::current,
                     [&](const result<object_list>& all) { revision = all.value().revision; });
     it.run_for(milliseconds{100});
